--- /dev/null
+++ b/src/coordination/check.rs
@@ -0,0 +1,223 @@
+//! Checks of a whole set of objects.
+
+use std::collections::BTreeMap;
+
+use crate::state::{name, object_set, pool};
+
+/// Where an object stands in the operator's files.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Place {
+    /// File name.
+    pub file: String,
+    /// Line, from 1.
+    pub line: usize,
+}
+
+/// One error of a set.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Finding {
+    /// Where.
+    pub place: Place,
+    /// What.
+    pub message: String,
+}
+
+impl std::fmt::Display for Finding {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Place { file, line } = &self.place;
+        write!(f, "{file}:{line}: {}", self.message)
+    }
+}
+
+/// Places of the objects, by kind and name.
+pub type Places = BTreeMap<(&'static str, name::Name), Place>;
+
+/// Builds a set from files and finds every error.
+#[derive(Debug, Default)]
+pub struct Checker {
+    set: object_set::ObjectSet,
+    places: Places,
+    findings: Vec<Finding>,
+}
+
+fn line_of(text: &str, offset: usize) -> usize {
+    let before = &text.as_bytes()[..offset.min(text.len())];
+    1 + before.iter().filter(|byte| **byte == b'\n').count()
+}
+
+impl Checker {
+    /// Adds the objects of one TOML file.
+    ///
+    /// ```
+    /// let mut checker = fulmarproxy::coordination::check::Checker::default();
+    /// checker.add("a.toml", "[[budget]]\nname = \"b\"\n");
+    /// let findings = checker.finish().unwrap_err();
+    /// assert!(findings[0].to_string().starts_with("a.toml:1: missing field"));
+    /// ```
+    pub fn add(&mut self, file: &str, text: &str) {
+        let objects: object_set::ObjectFile = match toml::from_str(text) {
+            Ok(objects) => objects,
+            Err(err) => {
+                let line = err.span().map_or(1, |span| line_of(text, span.start));
+                let place = Place {
+                    file: file.to_owned(),
+                    line,
+                };
+                return self.find(place, err.message().to_owned());
+            }
+        };
+        let place = |span: std::ops::Range<usize>| Place {
+            file: file.to_owned(),
+            line: line_of(text, span.start),
+        };
+        for object in objects.workspace {
+            let place = place(object.span());
+            let object = object.into_inner();
+            if self.place("workspace", &object.name, place) {
+                self.set.workspaces.insert(object.name.clone(), object);
+            }
+        }
+        for object in objects.budget {
+            let place = place(object.span());
+            let object = object.into_inner();
+            if self.place("budget", &object.name, place) {
+                self.set.budgets.insert(object.name.clone(), object);
+            }
+        }
+        for object in objects.route {
+            let place = place(object.span());
+            let object = object.into_inner();
+            if self.place("route", &object.name, place) {
+                self.set.routes.insert(object.name.clone(), object);
+            }
+        }
+        for object in objects.pool {
+            let place = place(object.span());
+            let object = object.into_inner();
+            if self.place("pool", &object.name, place) {
+                self.set.pools.insert(object.name.clone(), object);
+            }
+        }
+    }
+
+    fn place(&mut self, kind: &'static str, name: &name::Name, place: Place) -> bool {
+        if let Some(first) = self.places.get(&(kind, name.clone())) {
+            let Place { file, line } = first;
+            let message = format!("{kind} {name:?} is defined already at {file}:{line}");
+            self.find(place, message);
+            return false;
+        }
+        self.places.insert((kind, name.clone()), place);
+        true
+    }
+
+    fn find(&mut self, place: Place, message: String) {
+        self.findings.push(Finding { place, message });
+    }
+
+    fn find_at(&mut self, kind: &'static str, name: &name::Name, message: String) {
+        let place = self
+            .places
+            .get(&(kind, name.clone()))
+            .cloned()
+            .unwrap_or_default();
+        self.find(place, message);
+    }
+
+    /// Returns the set, or every error in the order of the files.
+    ///
+    /// # Errors
+    ///
+    /// All findings, sorted by place.
+    pub fn finish(mut self) -> Result<object_set::ObjectSet, Vec<Finding>> {
+        let set = std::mem::take(&mut self.set);
+        self.check_workspaces(&set);
+        self.check_routes(&set);
+        self.check_pools(&set);
+        if self.findings.is_empty() {
+            return Ok(set);
+        }
+        self.findings.sort();
+        Err(self.findings)
+    }
+
+    fn check_workspaces(&mut self, set: &object_set::ObjectSet) {
+        let mut owners: BTreeMap<&str, &name::Name> = BTreeMap::new();
+        for (name, workspace) in &set.workspaces {
+            if !set.budgets.contains_key(&workspace.budget) {
+                let message = format!("budget {:?} does not exist", workspace.budget);
+                self.find_at("workspace", name, message);
+            }
+            for route in &workspace.routes {
+                if !set.routes.contains_key(route) {
+                    self.find_at("workspace", name, format!("route {route:?} does not exist"));
+                }
+            }
+            for key in &workspace.keys {
+                let digest = key.len() == 64 && key.bytes().all(|b| b.is_ascii_hexdigit());
+                if !digest {
+                    let message = format!("key {key:?} is not a SHA-256 digest in hex");
+                    self.find_at("workspace", name, message);
+                }
+                if let Some(owner) = owners.insert(key, name) {
+                    let message = format!("key {key:?} belongs to workspace {owner:?} already");
+                    self.find_at("workspace", name, message);
+                }
+            }
+        }
+    }
+
+    fn check_routes(&mut self, set: &object_set::ObjectSet) {
+        for (name, route) in &set.routes {
+            if route.pools.is_empty() {
+                self.find_at("route", name, "no pool serves the route".to_owned());
+            }
+            if route.model.is_empty() == route.path.is_empty() {
+                let message = "exactly one of model and path must be set".to_owned();
+                self.find_at("route", name, message);
+            }
+            if !route.model.is_empty() && route.max_tokens == 0 {
+                self.find_at(
+                    "route",
+                    name,
+                    "max_tokens must be set for a model".to_owned(),
+                );
+            }
+            if route.deadline_seconds == 0 {
+                self.find_at(
+                    "route",
+                    name,
+                    "deadline_seconds must not be zero".to_owned(),
+                );
+            }
+            for pool_name in &route.pools {
+                self.check_route_pool(set, name, pool_name, route.model.is_empty());
+            }
+        }
+    }
+
+    fn check_route_pool(
+        &mut self,
+        set: &object_set::ObjectSet,
+        name: &name::Name,
+        pool_name: &name::Name,
+        plain: bool,
+    ) {
+        let Some(pool) = set.pools.get(pool_name) else {
+            let message = format!("pool {pool_name:?} does not exist");
+            return self.find_at("route", name, message);
+        };
+        if (pool.kind == pool::PoolKind::Plain) != plain {
+            let message = format!("pool {pool_name:?} is of the other kind");
+            self.find_at("route", name, message);
+        }
+    }
+
+    fn check_pools(&mut self, set: &object_set::ObjectSet) {
+        for (name, pool) in &set.pools {
+            if pool.services.is_empty() {
+                self.find_at("pool", name, "the pool names no service".to_owned());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/publish.rs
@@ -0,0 +1,113 @@
+//! Division of a set of objects into chunks, and the head that names them.
+
+use std::collections::BTreeMap;
+
+use sha2::{Digest, Sha256};
+
+use crate::{
+    error,
+    state::{config, name, object_set},
+};
+
+/// Chunks that each kind of object is spread over.
+pub const CHUNKS_PER_KIND: u64 = 16;
+
+/// Content of the chunks of a set, by digest.
+#[derive(Clone, Debug, Default)]
+pub struct Chunks {
+    /// Digest of each chunk, by chunk name.
+    pub digests: BTreeMap<name::Name, String>,
+    /// Content, by digest.
+    pub contents: BTreeMap<String, object_set::ObjectSet>,
+}
+
+/// Returns the SHA-256 digest of some bytes in lower-case hex.
+///
+/// ```
+/// assert!(fulmarproxy::coordination::publish::digest(b"").starts_with("e3b0c442"));
+/// ```
+pub fn digest(bytes: &[u8]) -> String {
+    Sha256::digest(bytes)
+        .iter()
+        .map(|byte| format!("{byte:02x}"))
+        .collect()
+}
+
+fn chunk_name(kind: &str, object: &str) -> name::Name {
+    let number = xxhash_rust::xxh3::xxh3_64(object.as_bytes()) % CHUNKS_PER_KIND;
+    format!("{kind}-{number}").into()
+}
+
+/// Divides a set; equal sets give equal digests.
+///
+/// ```
+/// use fulmarproxy::{coordination::publish, state::object_set};
+/// let chunks = publish::divide(&object_set::ObjectSet::default()).unwrap();
+/// assert!(chunks.digests.is_empty());
+/// ```
+///
+/// # Errors
+///
+/// [`error::Error::StoreValue`] when an object cannot be written as JSON.
+pub fn divide(set: &object_set::ObjectSet) -> Result<Chunks, error::Error> {
+    let mut parts: BTreeMap<name::Name, object_set::ObjectSet> = BTreeMap::new();
+    for (name, object) in &set.workspaces {
+        let part = parts.entry(chunk_name("workspace", name)).or_default();
+        part.workspaces.insert(name.clone(), object.clone());
+    }
+    for (name, object) in &set.budgets {
+        let part = parts.entry(chunk_name("budget", name)).or_default();
+        part.budgets.insert(name.clone(), object.clone());
+    }
+    for (name, object) in &set.routes {
+        let part = parts.entry(chunk_name("route", name)).or_default();
+        part.routes.insert(name.clone(), object.clone());
+    }
+    for (name, object) in &set.pools {
+        let part = parts.entry(chunk_name("pool", name)).or_default();
+        part.pools.insert(name.clone(), object.clone());
+    }
+    let mut chunks = Chunks::default();
+    for (name, part) in parts {
+        let bytes = serde_json::to_vec(&part).map_err(|source| error::Error::StoreValue {
+            key: name.to_string(),
+            source,
+        })?;
+        let digest = digest(&bytes);
+        chunks.digests.insert(name, digest.clone());
+        chunks.contents.insert(digest, part);
+    }
+    Ok(chunks)
+}
+
+/// Puts chunks together to a whole set.
+///
+/// ```
+/// use fulmarproxy::{coordination::publish, state::object_set};
+/// let set = publish::join([object_set::ObjectSet::default()]);
+/// assert_eq!(set, object_set::ObjectSet::default());
+/// ```
+pub fn join(parts: impl IntoIterator<Item = object_set::ObjectSet>) -> object_set::ObjectSet {
+    let mut set = object_set::ObjectSet::default();
+    for part in parts {
+        set.workspaces.extend(part.workspaces);
+        set.budgets.extend(part.budgets);
+        set.routes.extend(part.routes);
+        set.pools.extend(part.pools);
+    }
+    set
+}
+
+/// Names the digests of `head` that are not among `known`.
+///
+/// ```
+/// use fulmarproxy::{coordination::publish, state::config};
+/// assert!(publish::missing(&config::Head::default(), |_| false).is_empty());
+/// ```
+pub fn missing(head: &config::Head, known: impl Fn(&str) -> bool) -> Vec<String> {
+    head.chunks
+        .values()
+        .filter(|digest| !known(digest))
+        .cloned()
+        .collect()
+}
--- /dev/null
+++ b/src/error.rs
@@ -0,0 +1,96 @@
+//! The one error type of the library; each message names the culprit.
+
+use derive_more::{Display, Error, From};
+
+/// What went wrong, and with what.
+#[derive(Debug, Display, Error, From)]
+pub enum Error {
+    /// A setting has a value that is not allowed.
+    #[display("setting {setting} has the value {value:?}, allowed is {allowed}")]
+    Setting {
+        /// Flag of the setting.
+        setting: &'static str,
+        /// Value found.
+        value: String,
+        /// What is allowed.
+        allowed: &'static str,
+    },
+    /// The command line does not parse.
+    #[from]
+    #[display("command line: {_0}")]
+    CommandLine(getopts::Fail),
+    /// A command-line argument is wrong.
+    #[display("command line: {message}")]
+    Argument {
+        /// What is wrong.
+        message: String,
+    },
+    /// A file cannot be read.
+    #[display("file {path} cannot be read: {source}")]
+    File {
+        /// Path of the file.
+        path: String,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// The set of objects has errors.
+    #[display("the set of objects has {count} errors")]
+    Objects {
+        /// How many.
+        count: usize,
+    },
+    /// The store cannot be reached or failed.
+    #[display("store call {call} failed: {message}")]
+    Store {
+        /// Call that failed.
+        call: &'static str,
+        /// Cause.
+        message: String,
+    },
+    /// A value of the store does not parse.
+    #[display("store value of {key} does not parse: {source}")]
+    StoreValue {
+        /// Key.
+        key: String,
+        /// Cause.
+        source: serde_json::Error,
+    },
+    /// Another publication came first.
+    #[display("version {expected} was expected, but version {found} is published")]
+    Conflict {
+        /// Version that the set was checked against.
+        expected: u64,
+        /// Version that is published.
+        found: u64,
+    },
+    /// An RPC between members failed.
+    #[from]
+    #[display("fleet call failed: {_0}")]
+    Rpc(capnp::Error),
+    /// A member did not prove the fleet key.
+    #[display("peer {peer} does not hold the fleet key")]
+    Handshake {
+        /// Address of the peer.
+        peer: String,
+    },
+    /// A socket failed.
+    #[from]
+    #[display("socket: {_0}")]
+    Io(std::io::Error),
+    /// A thread of the process has ended.
+    #[display("worker {worker} has ended")]
+    WorkerGone {
+        /// Number of the worker.
+        worker: usize,
+    },
+    /// An HTTP exchange with the platform failed.
+    #[display("{what} at {url} failed: {message}")]
+    Http {
+        /// What was asked for.
+        what: &'static str,
+        /// Address asked.
+        url: String,
+        /// Cause.
+        message: String,
+    },
+}
--- /dev/null
+++ b/src/protocol.rs
@@ -0,0 +1,9 @@
+//! Messages of the fleet and of the systems around it.
+
+pub mod chat;
+#[rustfmt::skip]
+#[allow(missing_docs, clippy::all, clippy::nursery, clippy::pedantic, unused_qualifications)]
+pub mod fleet_capnp;
+pub mod kv;
+pub mod run;
+pub mod vm_list;
--- /dev/null
+++ b/src/protocol/kv.rs
@@ -0,0 +1,309 @@
+//! Messages of the key-value service: a subset of etcd v3's JSON gateway.
+
+use base64::{Engine, engine::general_purpose::STANDARD};
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
+
+use crate::error;
+
+/// Bytes that travel as base64 text.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Bytes(pub Vec<u8>);
+
+impl Serialize for Bytes {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_str(&STANDARD.encode(&self.0))
+    }
+}
+
+impl<'de> Deserialize<'de> for Bytes {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        STANDARD.decode(text).map(Self).map_err(de::Error::custom)
+    }
+}
+
+impl From<&str> for Bytes {
+    fn from(text: &str) -> Self {
+        Self(text.as_bytes().to_vec())
+    }
+}
+
+/// A number that the gateway writes as text.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Number(pub u64);
+
+impl Serialize for Number {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(&self.0)
+    }
+}
+
+impl<'de> Deserialize<'de> for Number {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        struct Visitor;
+
+        impl de::Visitor<'_> for Visitor {
+            type Value = Number;
+
+            fn expecting(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                f.write_str("a number or its decimal text")
+            }
+
+            fn visit_u64<E: de::Error>(self, value: u64) -> Result<Number, E> {
+                Ok(Number(value))
+            }
+
+            fn visit_str<E: de::Error>(self, value: &str) -> Result<Number, E> {
+                value.parse().map(Number).map_err(E::custom)
+            }
+        }
+
+        deserializer.deserialize_any(Visitor)
+    }
+}
+
+/// Header of every answer.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Header {
+    /// Revision of the whole store when it answered.
+    #[serde(default)]
+    pub revision: Number,
+}
+
+/// One key with its value and revisions.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeyValue {
+    /// Key.
+    pub key: Bytes,
+    /// Value.
+    #[serde(default)]
+    pub value: Bytes,
+    /// Revision of the first write since the key last came to be.
+    #[serde(default)]
+    pub create_revision: Number,
+    /// Revision of the last write.
+    #[serde(default)]
+    pub mod_revision: Number,
+    /// Lease that the key lives by; zero for none.
+    #[serde(default)]
+    pub lease: Number,
+}
+
+/// Reads one key, or all keys from `key` up to `range_end`.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct RangeRequest {
+    /// First key.
+    pub key: Bytes,
+    /// First key past the range; empty for a single key.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub range_end: Option<Bytes>,
+}
+
+/// Answer to a range request.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct RangeResponse {
+    /// Header.
+    #[serde(default)]
+    pub header: Header,
+    /// Keys found, in order.
+    #[serde(default)]
+    pub kvs: Vec<KeyValue>,
+}
+
+/// Condition of a transaction: the key's last revision equals a number.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Compare {
+    /// Key compared.
+    pub key: Bytes,
+    /// Always `MOD`.
+    pub target: String,
+    /// Always `EQUAL`.
+    pub result: String,
+    /// Revision expected; zero when the key must not exist.
+    pub mod_revision: Number,
+}
+
+/// Writes one key.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct PutRequest {
+    /// Key.
+    pub key: Bytes,
+    /// Value.
+    pub value: Bytes,
+    /// Lease that the key lives by; zero for none.
+    #[serde(default)]
+    pub lease: Number,
+}
+
+/// Deletes one key, or all keys from `key` up to `range_end`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct DeleteRequest {
+    /// First key.
+    pub key: Bytes,
+    /// First key past the range; empty for a single key.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub range_end: Option<Bytes>,
+}
+
+/// One operation of a transaction.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Operation {
+    /// Writes a key.
+    RequestPut(PutRequest),
+    /// Reads keys.
+    RequestRange(RangeRequest),
+    /// Deletes keys.
+    RequestDeleteRange(DeleteRequest),
+}
+
+/// Operations under conditions.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct TxnRequest {
+    /// All must hold.
+    #[serde(default)]
+    pub compare: Vec<Compare>,
+    /// Carried out when all conditions hold.
+    #[serde(default)]
+    pub success: Vec<Operation>,
+    /// Carried out otherwise.
+    #[serde(default)]
+    pub failure: Vec<Operation>,
+}
+
+/// Answer of one operation.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct OperationResponse {
+    /// Set for a range operation.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub response_range: Option<RangeResponse>,
+}
+
+/// Answer to a transaction.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct TxnResponse {
+    /// Header.
+    #[serde(default)]
+    pub header: Header,
+    /// Whether the conditions held.
+    #[serde(default)]
+    pub succeeded: bool,
+    /// Answers in the order of the operations.
+    #[serde(default)]
+    pub responses: Vec<OperationResponse>,
+}
+
+/// Asks for a lease, or keeps one alive.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct LeaseRequest {
+    /// Lease id; zero lets the service choose.
+    #[serde(rename = "ID", default)]
+    pub id: Number,
+    /// Time to live in seconds; unused by a keep-alive.
+    #[serde(rename = "TTL", default)]
+    pub ttl: Number,
+}
+
+/// Answer to a lease request; a time to live of zero means that the lease is gone.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct LeaseResponse {
+    /// Lease id.
+    #[serde(rename = "ID", default)]
+    pub id: Number,
+    /// Time to live in seconds.
+    #[serde(rename = "TTL", default)]
+    pub ttl: Number,
+}
+
+/// Opens a watch.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct WatchRequest {
+    /// What to watch.
+    pub create_request: WatchCreate,
+}
+
+/// Keys that a watch covers.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct WatchCreate {
+    /// First key.
+    pub key: Bytes,
+    /// First key past the range; empty for a single key.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub range_end: Option<Bytes>,
+    /// First revision reported; zero for changes from now on.
+    #[serde(default)]
+    pub start_revision: Number,
+}
+
+/// One line of a watch's stream.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct WatchLine {
+    /// Content of the line.
+    #[serde(default)]
+    pub result: WatchResult,
+}
+
+/// Changes that a watch reports.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct WatchResult {
+    /// Header.
+    #[serde(default)]
+    pub header: Header,
+    /// Changes, oldest first.
+    #[serde(default)]
+    pub events: Vec<Event>,
+}
+
+/// A change of one key.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Event {
+    /// `DELETE`, or empty for a write.
+    #[serde(rename = "type", default)]
+    pub kind: String,
+    /// The key after the change.
+    pub kv: KeyValue,
+}
+
+/// Returns the first key past every key that starts with `prefix`.
+///
+/// ```
+/// use fulmarproxy::protocol::kv;
+/// assert_eq!(kv::prefix_end("ab"), kv::Bytes::from("ac"));
+/// ```
+pub fn prefix_end(prefix: &str) -> Bytes {
+    let mut end = prefix.as_bytes().to_vec();
+    while let Some(last) = end.last_mut() {
+        if *last < u8::MAX {
+            *last += 1;
+            return Bytes(end);
+        }
+        end.pop();
+    }
+    Bytes(vec![0])
+}
+
+/// Decodes a JSON value held in the store.
+///
+/// # Errors
+///
+/// [`error::Error::StoreValue`] names the key whose value does not parse.
+///
+/// ```
+/// use fulmarproxy::protocol::kv;
+/// let kv = kv::KeyValue { key: "n".into(), value: "7".into(), ..Default::default() };
+/// assert_eq!(kv::decode::<u64>(&kv).unwrap(), 7);
+/// ```
+pub fn decode<T: de::DeserializeOwned>(kv: &KeyValue) -> Result<T, error::Error> {
+    serde_json::from_slice(&kv.value.0).map_err(|source| error::Error::StoreValue {
+        key: String::from_utf8_lossy(&kv.key.0).into_owned(),
+        source,
+    })
+}
+
+/// Answer to a keep-alive, which the gateway wraps like a stream.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct KeepAliveLine {
+    /// Content of the line.
+    #[serde(default)]
+    pub result: LeaseResponse,
+}
--- /dev/null
+++ b/src/protocol/run.rs
@@ -0,0 +1,247 @@
+//! One attempt at a request, as router and agent exchange it.
+
+use std::time;
+
+use crate::{
+    code::Code,
+    error,
+    protocol::fleet_capnp,
+    state::{member, name, receipt},
+};
+
+/// What a router asks of an agent.
+#[derive(Clone, Debug)]
+pub struct RunRequest {
+    /// Request id, the same over attempts.
+    pub id: name::Name,
+    /// Number of the attempt.
+    pub attempt: u32,
+    /// Incarnation of the router that pays.
+    pub holder: member::Incarnation,
+    /// Incarnation of the agent that is meant.
+    pub agent: member::Incarnation,
+    /// Configuration version that the router follows.
+    pub config: u64,
+    /// Workspace of the caller.
+    pub workspace: name::Name,
+    /// Budget that pays.
+    pub budget: name::Name,
+    /// Route that the caller named.
+    pub route: name::Name,
+    /// Service that the backend server belongs to.
+    pub service: name::Name,
+    /// Tokens reserved.
+    pub bound: u64,
+    /// Time left to the caller's deadline.
+    pub deadline: time::Duration,
+    /// Smaller runs first.
+    pub priority: u8,
+    /// Receipts up to this number are durable at the holder.
+    pub acked: u64,
+    /// Idempotency key; empty when none was given.
+    pub key: name::Name,
+    /// Fingerprint of workspace and body.
+    pub fingerprint: u64,
+    /// Body that goes to the backend server.
+    pub body: Vec<u8>,
+    /// Path of a plain service call; empty for a model call.
+    pub path: String,
+    /// Method of a plain service call.
+    pub method: String,
+    /// Whether the answer is streamed.
+    pub stream: bool,
+    /// Whether the attempt must run with no neighbours.
+    pub solo: bool,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Debug)]
+pub struct RunOutcome {
+    /// [`Code::Ok`] when the whole answer was sent.
+    pub code: Code,
+    /// Whether the attempt may have run.
+    pub ran: bool,
+    /// Charge, when the agent numbered one.
+    pub receipt: Option<receipt::Receipt>,
+    /// Detail for the log and the caller.
+    pub message: String,
+    /// Newest configuration version that the agent has seen.
+    pub config: u64,
+    /// When to come back.
+    pub retry_after: time::Duration,
+    /// HTTP status of the backend server.
+    pub status: u16,
+    /// Bytes of the whole answer.
+    pub length: u64,
+}
+
+impl RunOutcome {
+    /// An attempt that certainly did not run.
+    ///
+    /// ```
+    /// use fulmarproxy::{code::Code, protocol::run};
+    /// assert!(!run::RunOutcome::not_run(Code::Draining, "leaving").ran);
+    /// ```
+    pub fn not_run(code: Code, message: impl Into<String>) -> Self {
+        Self {
+            code,
+            ran: false,
+            receipt: None,
+            message: message.into(),
+            config: 0,
+            retry_after: time::Duration::ZERO,
+            status: 0,
+            length: 0,
+        }
+    }
+}
+
+fn text(reader: capnp::text::Reader<'_>) -> Result<name::Name, error::Error> {
+    Ok(name::Name::from(
+        reader.to_str().map_err(capnp::Error::from)?,
+    ))
+}
+
+/// Writes a request into a message.
+pub fn write_request(req: &RunRequest, mut to: fleet_capnp::run_request::Builder<'_>) {
+    to.set_id(&*req.id);
+    to.set_attempt(req.attempt);
+    to.set_holder(req.holder);
+    to.set_agent(req.agent);
+    to.set_config(req.config);
+    to.set_workspace(&*req.workspace);
+    to.set_budget(&*req.budget);
+    to.set_route(&*req.route);
+    to.set_service(&*req.service);
+    to.set_bound(req.bound);
+    to.set_deadline_ms(req.deadline.as_millis() as u64);
+    to.set_priority(req.priority);
+    to.set_acked(req.acked);
+    to.set_key(&*req.key);
+    to.set_fingerprint(req.fingerprint);
+    to.set_body(&req.body);
+    to.set_path(&*req.path);
+    to.set_method(&*req.method);
+    to.set_stream(req.stream);
+    to.set_solo(req.solo);
+}
+
+/// Reads a request from a message.
+///
+/// # Errors
+///
+/// [`error::Error::Rpc`] when the message is malformed.
+pub fn read_request(
+    from: fleet_capnp::run_request::Reader<'_>,
+) -> Result<RunRequest, error::Error> {
+    Ok(RunRequest {
+        id: text(from.get_id()?)?,
+        attempt: from.get_attempt(),
+        holder: from.get_holder(),
+        agent: from.get_agent(),
+        config: from.get_config(),
+        workspace: text(from.get_workspace()?)?,
+        budget: text(from.get_budget()?)?,
+        route: text(from.get_route()?)?,
+        service: text(from.get_service()?)?,
+        bound: from.get_bound(),
+        deadline: time::Duration::from_millis(from.get_deadline_ms()),
+        priority: from.get_priority(),
+        acked: from.get_acked(),
+        key: text(from.get_key()?)?,
+        fingerprint: from.get_fingerprint(),
+        body: from.get_body()?.to_vec(),
+        path: text(from.get_path()?)?.to_string(),
+        method: text(from.get_method()?)?.to_string(),
+        stream: from.get_stream(),
+        solo: from.get_solo(),
+    })
+}
+
+/// Writes a receipt into a message.
+pub fn write_receipt(receipt: &receipt::Receipt, mut to: fleet_capnp::receipt::Builder<'_>) {
+    to.set_number(receipt.number);
+    to.set_request(&*receipt.request);
+    to.set_budget(&*receipt.budget);
+    to.set_tokens(receipt.tokens);
+    to.set_ran(receipt.ran);
+}
+
+/// Reads a receipt from a message.
+///
+/// # Errors
+///
+/// [`error::Error::Rpc`] when the message is malformed.
+pub fn read_receipt(
+    from: fleet_capnp::receipt::Reader<'_>,
+) -> Result<receipt::Receipt, error::Error> {
+    Ok(receipt::Receipt {
+        number: from.get_number(),
+        request: text(from.get_request()?)?,
+        budget: text(from.get_budget()?)?,
+        tokens: from.get_tokens(),
+        ran: from.get_ran(),
+    })
+}
+
+/// Writes an outcome into a message.
+pub fn write_outcome(outcome: &RunOutcome, mut to: fleet_capnp::run_outcome::Builder<'_>) {
+    to.set_code(outcome.code as u16);
+    to.set_ran(outcome.ran);
+    to.set_message(&*outcome.message);
+    to.set_config(outcome.config);
+    to.set_retry_after_ms(outcome.retry_after.as_millis() as u64);
+    to.set_status(outcome.status);
+    to.set_length(outcome.length);
+    if let Some(receipt) = &outcome.receipt {
+        write_receipt(receipt, to.init_receipt());
+    }
+}
+
+/// Reads an outcome from a message; an unknown code becomes [`Code::Internal`].
+///
+/// # Errors
+///
+/// [`error::Error::Rpc`] when the message is malformed.
+pub fn read_outcome(
+    from: fleet_capnp::run_outcome::Reader<'_>,
+) -> Result<RunOutcome, error::Error> {
+    let receipt = match from.has_receipt() {
+        true => Some(read_receipt(from.get_receipt()?)?),
+        false => None,
+    };
+    Ok(RunOutcome {
+        code: Code::from_number(from.get_code()).unwrap_or(Code::Internal),
+        ran: from.get_ran(),
+        receipt,
+        message: text(from.get_message()?)?.to_string(),
+        config: from.get_config(),
+        retry_after: time::Duration::from_millis(from.get_retry_after_ms()),
+        status: from.get_status(),
+        length: from.get_length(),
+    })
+}
+
+/// Reads a member from a message.
+///
+/// # Errors
+///
+/// [`error::Error::Rpc`] when the message is malformed.
+pub fn read_member(from: fleet_capnp::member::Reader<'_>) -> Result<member::Member, error::Error> {
+    Ok(member::Member {
+        name: text(from.get_name()?)?,
+        incarnation: from.get_incarnation(),
+        address: text(from.get_address()?)?,
+        region: text(from.get_region()?)?,
+        zone: text(from.get_zone()?)?,
+    })
+}
+
+/// Writes a member into a message.
+pub fn write_member(member: &member::Member, mut to: fleet_capnp::member::Builder<'_>) {
+    to.set_name(&*member.name);
+    to.set_incarnation(member.incarnation);
+    to.set_address(&*member.address);
+    to.set_region(&*member.region);
+    to.set_zone(&*member.zone);
+}
--- /dev/null
+++ b/src/router/front.rs
@@ -0,0 +1,151 @@
+//! The listener for callers.
+
+use std::{
+    net::TcpListener,
+    sync::{Arc, atomic::Ordering},
+};
+
+use futures::{TryStreamExt, stream};
+use metrics::counter;
+use trillium::{Body, Conn, KnownHeaderName, Method, Status};
+
+use crate::{
+    code::Code,
+    error,
+    protocol::run,
+    router::{Router, exchange, request},
+    transport::http,
+};
+
+/// Starts the listener on a bound socket.
+pub fn start(
+    router: Arc<Router>,
+    listener: TcpListener,
+) -> Result<trillium_smol::Swansong, error::Error> {
+    let handler = move |conn: Conn| {
+        let router = router.clone();
+        async move { serve(&router, conn).await }
+    };
+    http::serve(listener, handler)
+}
+
+async fn serve(router: &Arc<Router>, mut conn: Conn) -> Conn {
+    router.in_flight.fetch_add(1, Ordering::Relaxed);
+    let answered = answer(router, &mut conn).await;
+    router.in_flight.fetch_sub(1, Ordering::Relaxed);
+    match answered {
+        Ok(body) => conn.ok(body),
+        Err(refusal) => refuse(conn, &refusal),
+    }
+}
+
+async fn answer(router: &Arc<Router>, conn: &mut Conn) -> Result<Body, request::Refusal> {
+    if conn.method() != Method::Post || conn.path() != "/v1/chat/completions" {
+        let message = format!("{} {} is not served", conn.method(), conn.path());
+        return Err(request::Refusal::not_run(Code::UnknownRoute, message));
+    }
+    let in_force = router.config();
+    let headers = conn.request_headers();
+    let authorization = headers.get_str(KnownHeaderName::Authorization);
+    let workspace = request::workspace_of(&in_force, authorization)?;
+    let key = headers.get_str("idempotency-key").map(str::to_owned);
+    let body = conn.request_body().read_bytes().await;
+    let body = body.map_err(|err| request::Refusal::not_run(Code::BadRequest, err.to_string()))?;
+    let req = request::read_chat(&in_force, &workspace, key.as_deref(), &body)?;
+    let answer = exchange::start(router, &req).await?;
+    conn.insert_response_header("x-request-id", req.id.to_string());
+    if req.stream {
+        conn.insert_response_header(KnownHeaderName::ContentType, "text/event-stream");
+        return Ok(streamed(answer));
+    }
+    conn.insert_response_header(KnownHeaderName::ContentType, "application/json");
+    whole(answer).await
+}
+
+/// Collects a whole answer.
+async fn whole(answer: exchange::Answer) -> Result<Body, request::Refusal> {
+    let mut bytes = Vec::new();
+    while let Ok(chunk) = answer.chunks.recv().await {
+        bytes.extend_from_slice(&chunk);
+    }
+    let end = answer.end.recv().await;
+    match end {
+        Ok(end) if is_whole(&end, bytes.len() as u64) => Ok(bytes.into()),
+        Ok(end) => Err(request::Refusal {
+            code: end.code,
+            message: end.message,
+            may_have_run: true,
+            retry_after: None,
+        }),
+        Err(_) => Err(request::Refusal {
+            code: Code::Internal,
+            message: "the answer was lost".to_owned(),
+            may_have_run: true,
+            retry_after: None,
+        }),
+    }
+}
+
+fn is_whole(end: &run::RunOutcome, sent: u64) -> bool {
+    end.code == Code::Ok && end.length == sent
+}
+
+/// Streams an answer; one that is not whole ends in an error event and a broken connection.
+fn streamed(answer: exchange::Answer) -> Body {
+    enum Step {
+        Chunks(exchange::Answer, u64),
+        Broken,
+        Ended,
+    }
+    let parts = stream::unfold(Step::Chunks(answer, 0), |step| async move {
+        match step {
+            Step::Chunks(answer, sent) => match answer.chunks.recv().await {
+                Ok(chunk) => {
+                    let sent = sent + chunk.len() as u64;
+                    Some((Ok(chunk), Step::Chunks(answer, sent)))
+                }
+                Err(_) => match answer.end.recv().await {
+                    Ok(end) if is_whole(&end, sent) => Some((Ok(Vec::new()), Step::Ended)),
+                    Ok(end) => Some((Ok(error_event(&end)), Step::Broken)),
+                    Err(_) => Some((Err(broken()), Step::Ended)),
+                },
+            },
+            Step::Broken => Some((Err(broken()), Step::Ended)),
+            Step::Ended => None,
+        }
+    });
+    Body::new_streaming(Box::pin(parts).into_async_read(), None)
+}
+
+fn broken() -> std::io::Error {
+    std::io::Error::other("the answer is not whole")
+}
+
+fn error_event(end: &run::RunOutcome) -> Vec<u8> {
+    let body = error_body(end.code, &end.message, true);
+    format!("event: error\ndata: {body}\n\n").into_bytes()
+}
+
+fn error_body(code: Code, message: &str, may_have_run: bool) -> serde_json::Value {
+    serde_json::json!({
+        "error": {
+            "code": code as u16,
+            "name": code.to_string(),
+            "message": message,
+            "run": if may_have_run { "may have run" } else { "not run" },
+        }
+    })
+}
+
+fn refuse(conn: Conn, refusal: &request::Refusal) -> Conn {
+    let code = refusal.code;
+    counter!("fulmar_refusals", "code" => code.to_string()).increment(1);
+    let status = Status::try_from(code.status()).unwrap_or(Status::InternalServerError);
+    let body = error_body(code, &refusal.message, refusal.may_have_run);
+    let mut conn = conn.with_status(status).with_body(body.to_string());
+    conn.insert_response_header(KnownHeaderName::ContentType, "application/json");
+    if let Some(delay) = refusal.retry_after {
+        conn.insert_response_header(KnownHeaderName::RetryAfter, delay.as_secs().to_string());
+    }
+    conn
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,424 @@
+//! Settings of the daemon: flags and environment variables, checked at start.
+
+use std::{fmt::Write, net::SocketAddr, time::Duration};
+
+use crate::{error, state::name};
+
+/// One setting, as a flag and as an environment variable.
+#[derive(Clone, Copy, Debug)]
+pub struct Setting {
+    /// Long flag, without the dashes.
+    pub flag: &'static str,
+    /// Environment variable, read when the flag is not given.
+    pub env: &'static str,
+    /// Value when neither is given; `None` when one must be.
+    pub default: Option<&'static str>,
+    /// What is allowed.
+    pub allowed: &'static str,
+    /// What the setting does.
+    pub help: &'static str,
+    /// Roles that read the setting.
+    pub roles: &'static [&'static str],
+}
+
+const BOTH: &[&str] = &["router", "agent"];
+const ROUTER: &[&str] = &["router"];
+const AGENT: &[&str] = &["agent"];
+
+/// Every setting of the daemon.
+pub const SETTINGS: &[Setting] = &[
+    Setting {
+        flag: "name",
+        env: "FULMAR_NAME",
+        default: None,
+        allowed: "a VM name",
+        help: "Name of this VM",
+        roles: BOTH,
+    },
+    Setting {
+        flag: "region",
+        env: "FULMAR_REGION",
+        default: None,
+        allowed: "a region name",
+        help: "Region of this VM",
+        roles: BOTH,
+    },
+    Setting {
+        flag: "zone",
+        env: "FULMAR_ZONE",
+        default: None,
+        allowed: "an availability zone name",
+        help: "Availability zone of this VM",
+        roles: BOTH,
+    },
+    Setting {
+        flag: "listen",
+        env: "FULMAR_LISTEN",
+        default: Some("127.0.0.1:8080"),
+        allowed: "IP:port",
+        help: "Address for callers",
+        roles: ROUTER,
+    },
+    Setting {
+        flag: "fleet-listen",
+        env: "FULMAR_FLEET_LISTEN",
+        default: Some("127.0.0.1:7070"),
+        allowed: "IP:port",
+        help: "Address for other members of the fleet",
+        roles: BOTH,
+    },
+    Setting {
+        flag: "admin-listen",
+        env: "FULMAR_ADMIN_LISTEN",
+        default: Some("127.0.0.1:9090"),
+        allowed: "IP:port",
+        help: "Address for health, readiness and metrics",
+        roles: BOTH,
+    },
+    Setting {
+        flag: "store",
+        env: "FULMAR_STORE",
+        default: None,
+        allowed: "an http:// address",
+        help: "Address of the platform's key-value service",
+        roles: ROUTER,
+    },
+    Setting {
+        flag: "vms",
+        env: "FULMAR_VMS",
+        default: None,
+        allowed: "an http:// address",
+        help: "Address of the platform's list of VMs",
+        roles: BOTH,
+    },
+    Setting {
+        flag: "fleet-key-file",
+        env: "FULMAR_FLEET_KEY_FILE",
+        default: None,
+        allowed: "a readable file of 16 bytes or more",
+        help: "File with the key that all members share",
+        roles: BOTH,
+    },
+    Setting {
+        flag: "service",
+        env: "FULMAR_SERVICE",
+        default: None,
+        allowed: "a service name",
+        help: "Service that the backend server beside this agent belongs to",
+        roles: AGENT,
+    },
+    Setting {
+        flag: "backend",
+        env: "FULMAR_BACKEND",
+        default: None,
+        allowed: "an http:// address",
+        help: "Address of the backend server beside this agent",
+        roles: AGENT,
+    },
+    Setting {
+        flag: "slots",
+        env: "FULMAR_SLOTS",
+        default: Some("16"),
+        allowed: "a number from 1 to 4096",
+        help: "Requests that the backend server runs at once",
+        roles: AGENT,
+    },
+    Setting {
+        flag: "workers",
+        env: "FULMAR_WORKERS",
+        default: Some("2"),
+        allowed: "a number from 1 to 256",
+        help: "Threads for connections to other members",
+        roles: BOTH,
+    },
+    Setting {
+        flag: "drain-seconds",
+        env: "FULMAR_DRAIN_SECONDS",
+        default: Some("600"),
+        allowed: "a number from 0 to 86400",
+        help: "Longest wait for requests in flight at shutdown, in seconds",
+        roles: BOTH,
+    },
+    Setting {
+        flag: "log",
+        env: "FULMAR_LOG",
+        default: Some("info"),
+        allowed: "error, warn, info, debug or trace, or a filter",
+        help: "Least severe messages that are logged",
+        roles: BOTH,
+    },
+    Setting {
+        flag: "log-format",
+        env: "FULMAR_LOG_FORMAT",
+        default: Some("text"),
+        allowed: "text or json",
+        help: "Form of the log",
+        roles: BOTH,
+    },
+];
+
+/// What a daemon is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// Takes requests from callers.
+    Router,
+    /// Runs requests at the backend server beside it.
+    Agent,
+}
+
+/// Checked settings of a daemon.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Role of the daemon.
+    pub role: Role,
+    /// Name of this VM.
+    pub name: name::Name,
+    /// Region of this VM.
+    pub region: name::Name,
+    /// Availability zone of this VM.
+    pub zone: name::Name,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address for other members.
+    pub fleet_listen: SocketAddr,
+    /// Address for health, readiness and metrics.
+    pub admin_listen: SocketAddr,
+    /// Address of the key-value service; empty for an agent.
+    pub store: String,
+    /// Address of the list of VMs.
+    pub vms: String,
+    /// Key that all members share.
+    pub fleet_key: Vec<u8>,
+    /// Service of the backend server; empty for a router.
+    pub service: name::Name,
+    /// Address of the backend server; empty for a router.
+    pub backend: String,
+    /// Requests that the backend server runs at once.
+    pub slots: u32,
+    /// Threads for connections to other members.
+    pub workers: usize,
+    /// Longest wait for requests in flight at shutdown.
+    pub drain: Duration,
+    /// Filter of the log.
+    pub log: String,
+    /// Whether the log is JSON.
+    pub log_json: bool,
+}
+
+/// What the command line asks for.
+#[derive(Clone, Debug)]
+pub enum Command {
+    /// Run with these settings.
+    Run(Box<Settings>),
+    /// Only check the settings.
+    Check,
+    /// Print this text.
+    Print(String),
+}
+
+/// Finds the values of the settings by flag, then by environment variable, then by default.
+struct Values<'a> {
+    role: &'static str,
+    matches: &'a getopts::Matches,
+    env: &'a dyn Fn(&str) -> Option<String>,
+}
+
+impl Values<'_> {
+    fn find(&self, flag: &str) -> Result<(&'static Setting, String), error::Error> {
+        let setting = setting(flag);
+        if !setting.roles.contains(&self.role) {
+            return Ok((setting, String::new()));
+        }
+        let given = self.matches.opt_str(setting.flag);
+        let given = given.or_else(|| (self.env)(setting.env));
+        let value = given.or_else(|| setting.default.map(str::to_owned));
+        match value {
+            Some(value) => Ok((setting, value)),
+            None => Err(wrong(setting, "")),
+        }
+    }
+
+    fn checked<T>(
+        &self,
+        flag: &str,
+        parse: impl Fn(&str) -> Option<T>,
+        unused: T,
+    ) -> Result<T, error::Error> {
+        let (setting, value) = self.find(flag)?;
+        if !setting.roles.contains(&self.role) {
+            return Ok(unused);
+        }
+        parse(&value).ok_or_else(|| wrong(setting, &value))
+    }
+
+    fn name(&self, flag: &str) -> Result<name::Name, error::Error> {
+        self.checked(flag, parse_name, name::Name::from(""))
+    }
+
+    fn url(&self, flag: &str) -> Result<String, error::Error> {
+        self.checked(flag, parse_url, String::new())
+    }
+
+    fn address(&self, flag: &str) -> Result<SocketAddr, error::Error> {
+        let unused = SocketAddr::from(([0, 0, 0, 0], 0));
+        self.checked(flag, |value| value.parse().ok(), unused)
+    }
+
+    fn number(&self, flag: &str, least: u64, most: u64) -> Result<u64, error::Error> {
+        let parse = |value: &str| value.parse().ok().filter(|n| (least..=most).contains(n));
+        self.checked(flag, parse, least)
+    }
+}
+
+fn setting(flag: &str) -> &'static Setting {
+    let found = SETTINGS.iter().find(|setting| setting.flag == flag);
+    found.expect("every flag that is read is in the table")
+}
+
+fn wrong(setting: &'static Setting, value: &str) -> error::Error {
+    error::Error::Setting {
+        setting: setting.flag,
+        value: value.to_owned(),
+        allowed: setting.allowed,
+    }
+}
+
+fn parse_name(value: &str) -> Option<name::Name> {
+    let allowed = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+    let fits = !value.is_empty() && value.len() <= 128 && value.chars().all(allowed);
+    fits.then(|| name::Name::from(value))
+}
+
+fn parse_url(value: &str) -> Option<String> {
+    let rest = value.strip_prefix("http://")?;
+    (!rest.is_empty()).then(|| value.to_owned())
+}
+
+fn options() -> getopts::Options {
+    let mut options = getopts::Options::new();
+    for setting in SETTINGS {
+        options.optopt("", setting.flag, setting.help, "VALUE");
+    }
+    options.optflag("", "check-settings", "Check the settings and exit");
+    options.optflag("h", "help", "Show this text");
+    options.optflag("V", "version", "Show the version");
+    options
+}
+
+fn usage() -> String {
+    let mut text = String::from("Usage: fulmard router|agent [FLAGS]\n\n");
+    for setting in SETTINGS {
+        let default = match setting.default {
+            Some(default) => format!("default {default}"),
+            None => "required".to_owned(),
+        };
+        let Setting {
+            flag,
+            env,
+            help,
+            allowed,
+            ..
+        } = setting;
+        let roles = setting.roles.join(", ");
+        let _ = writeln!(text, "  --{flag} VALUE  ({env})");
+        let _ = writeln!(text, "      {help}: {allowed}; {default}; {roles}.");
+    }
+    text.push_str("  --check-settings\n      Check the settings and exit.\n");
+    text.push_str("  --help, --version\n");
+    text
+}
+
+/// Reads the command line and the environment.
+///
+/// # Errors
+///
+/// [`error::Error::Setting`] names the setting, its value and what is allowed;
+/// [`error::Error::CommandLine`] names an unknown flag.
+///
+/// ```
+/// use fulmarproxy::settings;
+/// let args = vec!["--version".to_owned()];
+/// let command = settings::parse(&args, &|_| None).unwrap();
+/// assert!(matches!(command, settings::Command::Print(_)));
+/// ```
+pub fn parse(
+    args: &[String],
+    env: &dyn Fn(&str) -> Option<String>,
+) -> Result<Command, error::Error> {
+    let matches = options().parse(args)?;
+    if matches.opt_present("help") {
+        return Ok(Command::Print(usage()));
+    }
+    if matches.opt_present("version") {
+        let version = concat!("fulmard ", env!("CARGO_PKG_VERSION"), "\n");
+        return Ok(Command::Print(version.to_owned()));
+    }
+    let role = match matches.free.as_slice() {
+        [role] if role == "router" => Role::Router,
+        [role] if role == "agent" => Role::Agent,
+        other => {
+            let message = format!("expected router or agent, found {:?}", other.join(" "));
+            return Err(error::Error::Argument { message });
+        }
+    };
+    let values = Values {
+        role: role.name(),
+        matches: &matches,
+        env,
+    };
+    let settings = collect(role, &values)?;
+    match matches.opt_present("check-settings") {
+        true => Ok(Command::Check),
+        false => Ok(Command::Run(Box::new(settings))),
+    }
+}
+
+fn collect(role: Role, values: &Values<'_>) -> Result<Settings, error::Error> {
+    Ok(Settings {
+        role,
+        name: values.name("name")?,
+        region: values.name("region")?,
+        zone: values.name("zone")?,
+        listen: values.address("listen")?,
+        fleet_listen: values.address("fleet-listen")?,
+        admin_listen: values.address("admin-listen")?,
+        store: values.url("store")?,
+        vms: values.url("vms")?,
+        fleet_key: values.checked("fleet-key-file", read_key, Vec::new())?,
+        service: values.name("service")?,
+        backend: values.url("backend")?,
+        slots: values.number("slots", 1, 4096)? as u32,
+        workers: values.number("workers", 1, 256)? as usize,
+        drain: Duration::from_secs(values.number("drain-seconds", 0, 86_400)?),
+        log: values.checked("log", |value| Some(value.to_owned()), String::new())?,
+        log_json: values.checked("log-format", parse_log_format, false)?,
+    })
+}
+
+fn read_key(path: &str) -> Option<Vec<u8>> {
+    const LEAST_KEY_BYTES: usize = 16;
+    let key = std::fs::read(path).ok()?;
+    (key.len() >= LEAST_KEY_BYTES).then_some(key)
+}
+
+fn parse_log_format(value: &str) -> Option<bool> {
+    match value {
+        "text" => Some(false),
+        "json" => Some(true),
+        _ => None,
+    }
+}
+
+impl Role {
+    /// Name on the command line.
+    ///
+    /// ```
+    /// assert_eq!(fulmarproxy::settings::Role::Agent.name(), "agent");
+    /// ```
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Router => "router",
+            Self::Agent => "agent",
+        }
+    }
+}
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,13 @@
+//! Plain data shared by every layer: objects, ledgers and receipts.
+
+pub mod budget;
+pub mod config;
+pub mod holder_record;
+pub mod ledger;
+pub mod member;
+pub mod name;
+pub mod object_set;
+pub mod pool;
+pub mod receipt;
+pub mod route;
+pub mod workspace;
--- /dev/null
+++ b/src/state/receipt.rs
@@ -0,0 +1,18 @@
+//! Receipts: what an agent charges for one attempt.
+
+use crate::state::name;
+
+/// A charge for one attempt, numbered per holder at the agent that ran it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Receipt {
+    /// Grows by one per holder at this agent.
+    pub number: u64,
+    /// Request id.
+    pub request: name::Name,
+    /// Budget charged.
+    pub budget: name::Name,
+    /// Tokens charged, prompt and completion together.
+    pub tokens: u64,
+    /// False when the attempt certainly did not run.
+    pub ran: bool,
+}
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,256 @@
+//! Starts a small fleet of real processes on free loopback ports.
+#![allow(dead_code)]
+
+use std::{
+    io::{BufRead, BufReader},
+    net::TcpListener,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    time::{Duration, Instant},
+};
+
+use fulmarproxy::transport::http;
+use serde_json::{Value, json};
+use trillium_client::Client;
+
+/// Longest wait for any condition.
+pub const WAIT: Duration = Duration::from_secs(30);
+
+/// A process that ends with its value.
+pub struct Process {
+    pub child: Child,
+    pub name: String,
+    pub address: String,
+    pub admin: String,
+    pub fleet: String,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Process {
+    /// Sends a signal by number.
+    pub fn signal(&self, signal: &str) {
+        let pid = self.child.id().to_string();
+        let sent = Command::new("kill").args([signal, &pid]).status().unwrap();
+        assert!(sent.success(), "kill {signal} {pid}");
+    }
+}
+
+/// A fleet under test.
+pub struct Fleet {
+    pub platform: Process,
+    pub engines: Vec<Process>,
+    pub agents: Vec<Process>,
+    pub routers: Vec<Process>,
+    pub client: Client,
+    key_file: PathBuf,
+    vms: Vec<Value>,
+}
+
+pub fn free_address() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap().to_string()
+}
+
+fn binary(name: &str) -> Command {
+    let path = match name {
+        "fulmard" => env!("CARGO_BIN_EXE_fulmard"),
+        "fulmarctl" => env!("CARGO_BIN_EXE_fulmarctl"),
+        _ => env!("CARGO_BIN_EXE_fulmar-standin"),
+    };
+    Command::new(path)
+}
+
+/// Starts a stand-in and reads the address that it prints.
+pub fn standin(args: &[&str]) -> Process {
+    let mut child = binary("fulmar-standin")
+        .args(args)
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut line = String::new();
+    BufReader::new(child.stdout.take().unwrap())
+        .read_line(&mut line)
+        .unwrap();
+    let address = line
+        .trim_start_matches("Listening on ")
+        .trim_end_matches(".\n")
+        .to_owned();
+    Process {
+        child,
+        name: args[0].to_owned(),
+        admin: address.clone(),
+        fleet: address.clone(),
+        address,
+    }
+}
+
+impl Fleet {
+    /// Starts the platform's stand-in with an example's objects published.
+    pub fn start(example: &str) -> Self {
+        let key_file = std::env::temp_dir().join(format!("fulmar-{}.key", std::process::id()));
+        std::fs::write(&key_file, "a key for tests only").unwrap();
+        let fleet = Self {
+            platform: standin(&["platform"]),
+            engines: Vec::new(),
+            agents: Vec::new(),
+            routers: Vec::new(),
+            client: http::client(WAIT),
+            key_file,
+            vms: Vec::new(),
+        };
+        let dir = Path::new(env!("CARGO_MANIFEST_DIR"))
+            .join("examples")
+            .join(example);
+        fleet.publish(&dir);
+        fleet
+    }
+
+    pub fn platform_url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.platform.address)
+    }
+
+    pub fn publish(&self, dir: &Path) {
+        let status = binary("fulmarctl")
+            .args([
+                "publish",
+                dir.to_str().unwrap(),
+                "--store",
+                &self.platform_url(""),
+            ])
+            .stdout(Stdio::null())
+            .status()
+            .unwrap();
+        assert!(status.success(), "publish {}", dir.display());
+    }
+
+    pub fn daemon(&self, role: &str, name: &str, zone: &str, extra: &[&str]) -> Process {
+        let [listen, fleet, admin] = [free_address(), free_address(), free_address()];
+        let mut command = binary("fulmard");
+        command.args([role, "--name", name, "--region", "r", "--zone", zone]);
+        command.args([
+            "--fleet-listen",
+            &fleet,
+            "--admin-listen",
+            &admin,
+            "--log",
+            "debug",
+        ]);
+        command.args(["--fleet-key-file", self.key_file.to_str().unwrap()]);
+        command
+            .args(["--vms", &self.platform_url("/vms")])
+            .args(extra);
+        if role == "router" {
+            command.args(["--listen", &listen, "--store", &self.platform_url("")]);
+        }
+        let child = command.spawn().unwrap();
+        Process {
+            child,
+            name: name.to_owned(),
+            address: listen,
+            admin,
+            fleet,
+        }
+    }
+
+    fn list(&mut self, role: &str, name: &str, address: &str) {
+        self.vms.retain(|vm| vm["name"] != name);
+        self.vms.push(json!({
+            "name": name, "role": role, "address": address,
+            "region": "r", "zone": "a", "state": "live",
+        }));
+        let body = serde_json::to_vec(&self.vms).unwrap();
+        let conn = self.client.post(self.platform_url("/vms")).with_body(body);
+        smol::block_on(async { conn.await.unwrap().success().unwrap() });
+    }
+
+    pub fn add_router(&mut self) -> usize {
+        let name = format!("entry-{}", self.routers.len());
+        let router = self.daemon("router", &name, "a", &[]);
+        self.list("router", &name, &router.fleet);
+        self.routers.push(router);
+        self.routers.len() - 1
+    }
+
+    pub fn add_agent(&mut self, service: &str, token_micros: u64) -> usize {
+        let engine = standin(&["engine", "--token-micros", &token_micros.to_string()]);
+        let name = format!("backend-{}", self.agents.len());
+        let backend = format!("http://{}", engine.address);
+        let agent = self.daemon(
+            "agent",
+            &name,
+            "a",
+            &["--service", service, "--backend", &backend],
+        );
+        self.list("agent", &name, &agent.fleet);
+        self.engines.push(engine);
+        self.agents.push(agent);
+        self.agents.len() - 1
+    }
+
+    /// Waits until a router is ready and knows a number of agents.
+    pub fn wait_ready(&self, router: usize, agents: usize) {
+        let status = format!("http://{}/status", self.routers[router].admin);
+        wait_for("the router to know its agents", || {
+            let found: Result<Value, _> =
+                smol::block_on(http::get(&self.client, "status", &status));
+            found.is_ok_and(|found| {
+                found["config"].as_u64() > Some(0)
+                    && found["agents"]
+                        .as_array()
+                        .is_some_and(|known| known.len() >= agents)
+            })
+        });
+    }
+
+    /// Sends a chat request; returns status and body.
+    pub fn chat(&self, router: usize, key: &str, body: &Value) -> (u16, String) {
+        let url = format!(
+            "http://{}/v1/chat/completions",
+            self.routers[router].address
+        );
+        let conn = self.client.post(url).with_body(body.to_string());
+        let conn = conn.with_request_header("authorization", format!("Bearer {key}"));
+        smol::block_on(async {
+            let mut conn = conn.await.unwrap();
+            let status = conn.status().unwrap() as u16;
+            let body = conn.response_body().read_string().await.unwrap_or_default();
+            (status, body)
+        })
+    }
+
+    /// Tokens that all engines ran.
+    pub fn engine_tokens(&self) -> u64 {
+        let tokens = self.engines.iter().map(|engine| {
+            let url = format!("http://{}/counts", engine.address);
+            let counts: Value = smol::block_on(http::get(&self.client, "counts", &url)).unwrap();
+            counts["tokens"].as_u64().unwrap()
+        });
+        tokens.sum()
+    }
+
+    /// Tokens that the holders' records in the store count as spent from a budget.
+    pub fn billed_tokens(&self, budget: &str) -> u64 {
+        let store = fulmarproxy::transport::store::Store::new(&self.platform_url(""));
+        let (found, _) = smol::block_on(store.list("fulmar/holder/")).unwrap();
+        let spent = found.iter().map(|kv| {
+            let record: Value = serde_json::from_slice(&kv.value.0).unwrap();
+            record["budgets"][budget]["spent"].as_u64().unwrap_or(0)
+        });
+        spent.sum()
+    }
+}
+
+/// Waits for a condition.
+pub fn wait_for(what: &str, condition: impl Fn() -> bool) {
+    let start = Instant::now();
+    while !condition() {
+        assert!(start.elapsed() < WAIT, "waited {WAIT:?} for {what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
