--- a/examples/demo/main.rs
+++ b/examples/demo/main.rs
@@ -180,11 +180,10 @@
 async fn wait_and_show(demo: &Demo, first: &str, second: &str) -> Result<(), Failure> {
     let client = http::client(Duration::from_secs(2));
     let body = serde_json::to_vec(&demo.vms)?;
-    client
+    let list = client
         .post(format!("{}/vms", demo.platform))
-        .with_body(body)
-        .await?
-        .success()?;
+        .with_body(body);
+    drop(list.await?.success()?);
     for _ in 0..READY_POLLS {
         if demo.is_ready(&client).await {
             println!(
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -166,7 +166,8 @@
         }));
         let body = serde_json::to_vec(&self.vms).unwrap();
         let conn = self.client.post(self.platform_url("/vms")).with_body(body);
-        smol::block_on(async { conn.await.unwrap().success().unwrap() });
+        let answered = smol::block_on(async { conn.await.unwrap().success() });
+        assert!(answered.is_ok(), "the list of VMs is set");
     }
 
     pub fn add_router(&mut self) -> usize {
