--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -19,6 +19,7 @@
   queued @1 :UInt32;
   slots @2 :UInt32;       # requests that the engine batches at once
   draining @3 :Bool;
+  down @4 :Bool;          # the backend server does not answer
 }
 
 struct Receipt {
@@ -50,6 +51,8 @@
   method @17 :Text;
   stream @18 :Bool;
   solo @19 :Bool;         # run with no neighbours, after a crash
+  prefix @20 :UInt64;     # hash of the prompt's prefix, 0 when unknown
+  idempotent @21 :Bool;
 }
 
 struct RunOutcome {
@@ -69,10 +72,10 @@
 
 interface Agent {
   run @0 (req :RunRequest, sink :Sink) -> (outcome :RunOutcome);
-  resume @1 (id :Text, offset :UInt64, holder :UInt64, sink :Sink) -> (outcome :RunOutcome);
-  cancel @2 (id :Text, attempt :UInt32) -> ();
-  receipts @3 (holder :UInt64, after :UInt64) -> (list :List(Receipt));
-  fence @4 (revision :UInt64, holders :List(UInt64)) -> (revision :UInt64);
+  resume @1 (agent :UInt64, id :Text, offset :UInt64, holder :UInt64, sink :Sink) -> (outcome :RunOutcome);
+  cancel @2 (agent :UInt64, id :Text, attempt :UInt32) -> ();
+  receipts @3 (agent :UInt64, holder :UInt64, after :UInt64) -> (list :List(Receipt));
+  fence @4 (agent :UInt64, revision :UInt64, holders :List(UInt64)) -> (revision :UInt64);
   ping @5 (versions :Versions) -> (member :Member, load :Load, versions :Versions);
   order @6 (order :Order) -> (result :OrderResult);
   drain @7 (on :Bool) -> ();
@@ -100,6 +103,7 @@
   versions @3 :Versions;
   models @4 :List(Text);
   crashes @5 :List(Crash);
+  prefixes @6 :List(UInt64); # prompt prefixes that the engine has cached of late
 }
 
 struct Crash {
@@ -108,22 +112,24 @@
   ageMs @2 :UInt64;
 }
 
-struct Flow {
-  budget @0 :Text;
-  given @1 :UInt64;       # all tokens that the giver ever gave to the asker
-}
-
 struct Seen {
   beat @0 :AgentBeat;
   ageMs @1 :UInt64;
 }
 
+struct Gossip {
+  member @0 :Member;
+  versions @1 :Versions;
+  seen @2 :List(Seen);
+  crashes @3 :List(Crash);
+  fenced @4 :List(UInt64);
+}
+
 interface Router {
   beat @0 (beat :AgentBeat) -> (versions :Versions, fenced :List(UInt64));
-  draw @1 (asker :UInt64, budget :Text, received :UInt64, wanted :UInt64) -> (flow :Flow, free :UInt64);
-  gossip @2 (member :Member, versions :Versions, seen :List(Seen), crashes :List(Crash))
-      -> (member :Member, versions :Versions, seen :List(Seen), crashes :List(Crash));
+  draw @1 (giver :UInt64, asker :UInt64, budget :Text, received :UInt64, wanted :UInt64) -> (given :UInt64, free :UInt64);
+  gossip @2 (gossip :Gossip) -> (gossip :Gossip);
   config @3 (after :UInt64) -> (version :UInt64, set :Data);
-  flows @4 (asker :UInt64, revision :UInt64, closing :List(UInt64)) -> (record :Data);
+  flows @4 (router :UInt64, revision :UInt64, closing :List(UInt64)) -> (record :Data);
   status @5 () -> (json :Text);
 }
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -10,57 +10,102 @@
     time::Duration,
 };
 
-use trillium_client::Client;
-
 use crate::{
     coordination::receipt_log,
     error,
-    protocol::fleet_capnp,
+    protocol::{fleet_capnp, run},
     settings,
-    state::member,
-    transport::{admin, fleet_link, http, timers, vms, workers},
+    state::{member, name},
+    transport::{admin, agent_rpc, backend, dialler, fleet, fleet_link, runtime, vms, workers},
 };
 
-mod backend;
+mod admission;
+mod attempt;
 mod beats;
-mod service;
+mod calls;
 mod usage;
 
+const IDLE_POLL: Duration = Duration::from_millis(50);
+
+/// What an agent is made of.
+pub struct Parts {
+    /// Checked settings.
+    pub settings: settings::Settings,
+    /// `IP:port` of the fleet listener.
+    pub address: name::Name,
+    /// Clock, tasks and random numbers.
+    pub runtime: runtime::Runtime,
+    /// Calls to other members.
+    pub fleet: fleet::Fleet,
+    /// List of VMs.
+    pub vms: vms::Vms,
+    /// Calls to the backend server.
+    pub backend: backend::Backend,
+}
+
 /// Everything that the parts of an agent share.
 pub struct Agent {
     /// Checked settings.
     pub settings: settings::Settings,
     /// This agent.
     pub member: member::Member,
-    /// Clock.
-    pub timers: timers::Timers,
-    client: Client,
+    runtime: runtime::Runtime,
+    fleet: fleet::Fleet,
+    vms: vms::Vms,
+    backend: backend::Backend,
     receipts: Mutex<receipt_log::ReceiptLog>,
     fenced: Mutex<HashSet<member::Incarnation>>,
     config: AtomicU64,
+    fences: AtomicU64,
     running: AtomicU32,
     draining: AtomicBool,
 }
 
 impl Agent {
-    fn new(settings: settings::Settings, address: &str) -> Self {
+    /// Puts an agent together; [`start`](Self::start) begins its heartbeats.
+    pub fn new(parts: Parts) -> Arc<Self> {
+        let settings = parts.settings;
         let member = member::Member {
             name: settings.name.clone(),
-            incarnation: fastrand::u64(1..),
-            address: address.into(),
+            incarnation: (parts.runtime.random)().max(1),
+            address: parts.address,
             region: settings.region.clone(),
             zone: settings.zone.clone(),
         };
-        Self {
+        Arc::new(Self {
             settings,
             member,
-            timers: timers::Timers::default(),
-            client: http::streaming_client(),
+            runtime: parts.runtime,
+            fleet: parts.fleet,
+            vms: parts.vms,
+            backend: parts.backend,
             receipts: Mutex::default(),
             fenced: Mutex::default(),
             config: AtomicU64::new(0),
+            fences: AtomicU64::new(0),
             running: AtomicU32::new(0),
             draining: AtomicBool::new(false),
+        })
+    }
+
+    /// Starts the parts that work by themselves.
+    pub fn start(self: &Arc<Self>) {
+        beats::start(self.clone());
+    }
+
+    /// Runs one attempt; parts of the answer go to `tx`, and a closed `tx` cancels it.
+    pub async fn run(
+        &self,
+        req: run::RunRequest,
+        tx: async_channel::Sender<Vec<u8>>,
+    ) -> run::RunOutcome {
+        self.receipts
+            .lock()
+            .unwrap()
+            .acknowledge(req.holder, req.acked);
+        match admission::admit(self, &req) {
+            Ok(_running) => attempt::run(self, &req, &tx).await,
+            Err(refused) => refused,
         }
     }
 
@@ -74,13 +119,32 @@
         self.draining.load(Ordering::Relaxed)
     }
 
-    fn drain(&self) {
+    /// Takes no new work from now on.
+    pub fn drain(&self) {
         self.draining.store(true, Ordering::Relaxed);
     }
 
     fn readiness(&self) -> Option<String> {
         self.is_draining().then(|| "draining".to_owned())
     }
+
+    fn handlers(self: &Arc<Self>) -> agent_rpc::Handlers {
+        let [for_run, for_resume, for_call] = [self.clone(), self.clone(), self.clone()];
+        agent_rpc::Handlers {
+            run: Arc::new(move |req, tx| {
+                let agent = for_run.clone();
+                Box::pin(async move { agent.run(req, tx).await })
+            }),
+            resume: Arc::new(move |resume, tx| {
+                let agent = for_resume.clone();
+                Box::pin(async move { agent.resume(resume, tx).await })
+            }),
+            call: Arc::new(move |call| {
+                let agent = for_call.clone();
+                Box::pin(async move { agent.handle(call).await })
+            }),
+        }
+    }
 }
 
 /// Runs an agent until `stop` ends, then finishes what is in flight.
@@ -93,13 +157,21 @@
     stop: impl Future<Output = ()>,
 ) -> Result<(), error::Error> {
     let recorder = admin::install_recorder()?;
-    let fleet = TcpListener::bind(settings.fleet_listen)?;
+    let listener = TcpListener::bind(settings.fleet_listen)?;
     let admin_listener = TcpListener::bind(settings.admin_listen)?;
-    let address = fleet.local_addr()?.to_string();
+    let address: name::Name = listener.local_addr()?.to_string().into();
     let workers = workers::Workers::start("fleet", settings.workers)?;
     let key: fleet_link::FleetKey = settings.fleet_key.clone().into();
-    let drain_limit = settings.drain;
-    let agent = Arc::new(Agent::new(settings, &address));
+    let runtime = runtime::Runtime::default();
+    let dialler = dialler::Dialler::new(workers.clone(), key.clone(), runtime.timers.clone());
+    let agent = Agent::new(Parts {
+        address,
+        fleet: fleet::Fleet::over_rpc(&dialler),
+        vms: vms::Vms::over_http(&settings.vms),
+        backend: backend::Backend::over_http(&settings.backend),
+        runtime,
+        settings,
+    });
 
     let ready = agent.clone();
     let admin = admin::start(
@@ -108,21 +180,15 @@
         Arc::new(move || ready.readiness()),
         Arc::new(|_| None),
     )?;
-    let offered = agent.clone();
+    let handlers = agent.handlers();
     let offer = move |_: &workers::Local| {
-        let service = service::Service::new(offered.clone());
-        let client: fleet_capnp::agent::Client = capnp_rpc::new_client(service);
+        let server = agent_rpc::Server::new(handlers.clone());
+        let client: fleet_capnp::agent::Client = capnp_rpc::new_client(server);
         client.client
     };
-    let listener = fleet_link::adopt(fleet)?;
-    let accepting = smol::spawn(fleet_link::serve(
-        listener,
-        key.clone(),
-        workers.clone(),
-        offer,
-    ));
-    let list = vms::Vms::new(&agent.settings.vms);
-    beats::start(agent.clone(), list, key, workers);
+    let listener = fleet_link::adopt(listener)?;
+    let accepting = smol::spawn(fleet_link::serve(listener, key, workers, offer));
+    agent.start();
     tracing::info!(
         "agent: {} serves {}.",
         agent.member.name,
@@ -132,12 +198,13 @@
     stop.await;
     tracing::info!("agent: leaving.");
     agent.drain();
+    let timers = &agent.runtime.timers;
     let idle = async {
         while agent.running() > 0 {
-            agent.timers.sleep(Duration::from_millis(50)).await;
+            timers.sleep(IDLE_POLL).await;
         }
     };
-    timers::within(drain_limit, idle).await;
+    timers.within(agent.settings.drain, idle).await;
     drop(accepting);
     admin.shut_down().await;
     Ok(())
--- /dev/null
+++ b/src/agent/calls.rs
@@ -0,0 +1,92 @@
+//! Calls to an agent, besides attempts.
+
+use std::sync::atomic::Ordering;
+
+use crate::{
+    agent::Agent,
+    code::Code,
+    coordination::roster,
+    protocol::{messages, run},
+    state::member,
+};
+
+impl Agent {
+    /// Answers a call; [`messages::AgentReply::Done`] when another incarnation is meant.
+    pub async fn handle(&self, call: messages::AgentCall) -> messages::AgentReply {
+        match call {
+            messages::AgentCall::Receipts {
+                agent,
+                holder,
+                after,
+            } if self.is(agent) => {
+                let receipts = self.receipts.lock().unwrap().after(holder, after);
+                messages::AgentReply::Receipts(receipts)
+            }
+            messages::AgentCall::Fence {
+                agent,
+                revision,
+                holders,
+            } if self.is(agent) => {
+                self.fence(revision, &holders);
+                messages::AgentReply::Fenced(self.fences.load(Ordering::Relaxed))
+            }
+            messages::AgentCall::Ping { versions } => {
+                self.config.fetch_max(versions.config, Ordering::Relaxed);
+                messages::AgentReply::Pong {
+                    member: self.member.clone(),
+                    load: self.load(),
+                    versions: self.versions(),
+                }
+            }
+            messages::AgentCall::Drain { on } => {
+                self.draining.store(on, Ordering::Relaxed);
+                messages::AgentReply::Done
+            }
+            messages::AgentCall::Order(_) => messages::AgentReply::Ordered(messages::OrderResult {
+                code: Code::BackendRefused,
+                newest: 0,
+                message: "orders are not supported by this backend server".to_owned(),
+            }),
+            _ => messages::AgentReply::Done,
+        }
+    }
+
+    /// Sends the rest of an answer that is kept.
+    pub async fn resume(
+        &self,
+        resume: messages::Resume,
+        _tx: async_channel::Sender<Vec<u8>>,
+    ) -> run::RunOutcome {
+        let message = format!("request {} is not kept", resume.id);
+        run::RunOutcome::not_run(Code::NoBackend, message)
+    }
+
+    /// Refuses work of more holders from now on.
+    pub fn fence(&self, revision: u64, holders: &[member::Incarnation]) {
+        self.fenced.lock().unwrap().extend(holders);
+        self.fences.fetch_max(revision, Ordering::Relaxed);
+    }
+
+    /// Load that is reported.
+    pub fn load(&self) -> roster::Load {
+        roster::Load {
+            running: self.running(),
+            queued: 0,
+            slots: self.settings.slots,
+            draining: self.is_draining(),
+            down: false,
+        }
+    }
+
+    /// Newest versions seen.
+    pub fn versions(&self) -> messages::Versions {
+        messages::Versions {
+            config: self.config.load(Ordering::Relaxed),
+            fences: self.fences.load(Ordering::Relaxed),
+        }
+    }
+
+    fn is(&self, incarnation: member::Incarnation) -> bool {
+        incarnation == self.member.incarnation
+    }
+}
--- a/src/coordination/roster.rs
+++ b/src/coordination/roster.rs
@@ -21,6 +21,8 @@
     pub slots: u32,
     /// Whether the agent is leaving.
     pub draining: bool,
+    /// Whether the backend server does not answer.
+    pub down: bool,
 }
 
 /// An agent and what it last reported.
@@ -74,7 +76,7 @@
     ) -> impl Iterator<Item = &'a Agent> {
         self.agents.values().filter(move |agent| {
             let fresh = now.saturating_sub(agent.seen) < SUSPECT_AFTER;
-            fresh && !agent.load.draining && services.contains(&agent.service)
+            fresh && !agent.load.draining && !agent.load.down && services.contains(&agent.service)
         })
     }
 
--- a/src/ctl/command.rs
+++ b/src/ctl/command.rs
@@ -5,7 +5,7 @@
 use crate::{error, transport::store};
 
 /// What the tool is asked to do.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub enum Command {
     /// Print this text.
     Print(String),
@@ -82,7 +82,7 @@
     let store = || {
         let url = matches.opt_str("store").or_else(|| env("FULMAR_STORE"));
         let url = url.ok_or_else(|| wrong("--store or FULMAR_STORE must be given".to_owned()))?;
-        Ok::<_, error::Error>(store::Store::new(&url))
+        Ok::<_, error::Error>(store::Store::over_http(&url))
     };
     let free: Vec<&str> = matches.free.iter().map(String::as_str).collect();
     match free.as_slice() {
--- a/src/error.rs
+++ b/src/error.rs
@@ -94,3 +94,18 @@
         message: String,
     },
 }
+
+impl Error {
+    /// Turns the error into one that travels to the caller of a fleet call.
+    ///
+    /// ```
+    /// let err = fulmarproxy::error::Error::WorkerGone { worker: 1 };
+    /// assert!(err.into_rpc().to_string().contains("worker 1"));
+    /// ```
+    pub fn into_rpc(self) -> capnp::Error {
+        match self {
+            Self::Rpc(err) => err,
+            other => capnp::Error::failed(other.to_string()),
+        }
+    }
+}
--- a/src/protocol/fleet_capnp.rs
+++ b/src/protocol/fleet_capnp.rs
@@ -661,6 +661,10 @@
         pub fn get_draining(self) -> bool {
             self.reader.get_bool_field(96)
         }
+        #[inline]
+        pub fn get_down(self) -> bool {
+            self.reader.get_bool_field(97)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -747,6 +751,14 @@
         pub fn set_draining(&mut self, value: bool)  {
             self.builder.set_bool_field(96, value);
         }
+        #[inline]
+        pub fn get_down(self) -> bool {
+            self.builder.get_bool_field(97)
+        }
+        #[inline]
+        pub fn set_down(&mut self, value: bool)  {
+            self.builder.set_bool_field(97, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -758,7 +770,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 93] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(60, 51, 35, 240, 237, 80, 247, 194),
             ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
@@ -768,42 +780,49 @@
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 76, 111, 97, 100),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 96, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 97, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(145, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(114, 117, 110, 110, 105, 110, 103, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -837,6 +856,14 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 111, 119, 110, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -844,6 +871,7 @@
                 1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 3 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                4 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -857,9 +885,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,1,0,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,3,1,0,2];
         pub(crate) const TYPE_ID: u64 = 0xc2f7_50ed_f023_333c;
     }
 }
@@ -1372,11 +1400,19 @@
         pub fn get_solo(self) -> bool {
             self.reader.get_bool_field(41)
         }
+        #[inline]
+        pub fn get_prefix(self) -> u64 {
+            self.reader.get_data_field::<u64>(8)
+        }
+        #[inline]
+        pub fn get_idempotent(self) -> bool {
+            self.reader.get_bool_field(42)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 8, pointers: 9 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 9, pointers: 9 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1658,6 +1694,22 @@
         pub fn set_solo(&mut self, value: bool)  {
             self.builder.set_bool_field(41, value);
         }
+        #[inline]
+        pub fn get_prefix(self) -> u64 {
+            self.builder.get_data_field::<u64>(8)
+        }
+        #[inline]
+        pub fn set_prefix(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(8, value);
+        }
+        #[inline]
+        pub fn get_idempotent(self) -> bool {
+            self.builder.get_bool_field(42)
+        }
+        #[inline]
+        pub fn set_idempotent(&mut self, value: bool)  {
+            self.builder.set_bool_field(42, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1669,164 +1721,178 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 321] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 352] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(251, 198, 174, 200, 20, 122, 251, 130),
-            ::capnp::word(12, 0, 0, 0, 1, 0, 8, 0),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 9, 0),
             ::capnp::word(141, 148, 226, 183, 240, 195, 161, 214),
             ::capnp::word(9, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 103, 4, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 215, 4, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 82, 117, 110, 82),
             ::capnp::word(101, 113, 117, 101, 115, 116, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(80, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(88, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 2, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(89, 2, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(93, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(97, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(101, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(105, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(109, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(117, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(121, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(125, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(129, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(133, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(85, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(141, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(84, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(96, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(140, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(149, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 2, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(153, 2, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(157, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(165, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(169, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(164, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(17, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(173, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(18, 0, 0, 0, 40, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(177, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(19, 0, 0, 0, 41, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 19, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(181, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 0, 0, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 20, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(185, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(180, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(21, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 21, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(189, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(188, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1991,6 +2057,23 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 114, 101, 102, 105, 120, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 100, 101, 109, 112, 111, 116, 101),
+            ::capnp::word(110, 116, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2014,6 +2097,8 @@
                 17 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 18 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 19 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                20 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                21 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2027,9 +2112,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[12,3,1,15,9,6,4,10,14,2,0,13,17,16,11,7,8,19,18,5];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[12,3,1,15,9,6,4,10,14,2,0,21,13,17,16,20,11,7,8,19,18,5];
         pub(crate) const TYPE_ID: u64 = 0x82fb_7a14_c8ae_c6fb;
     }
 }
@@ -3619,6 +3704,10 @@
                 self.reader.total_size()
             }
             #[inline]
+            pub fn get_agent(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+            #[inline]
             pub fn get_id(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
@@ -3628,11 +3717,11 @@
             }
             #[inline]
             pub fn get_offset(self) -> u64 {
-                self.reader.get_data_field::<u64>(0)
+                self.reader.get_data_field::<u64>(1)
             }
             #[inline]
             pub fn get_holder(self) -> u64 {
-                self.reader.get_data_field::<u64>(1)
+                self.reader.get_data_field::<u64>(2)
             }
             #[inline]
             pub fn get_sink(self) -> ::capnp::Result<crate::fleet_capnp::sink::Client> {
@@ -3646,7 +3735,7 @@
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3697,6 +3786,14 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
+            pub fn get_agent(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_agent(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+            #[inline]
             pub fn get_id(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
@@ -3714,19 +3811,19 @@
             }
             #[inline]
             pub fn get_offset(self) -> u64 {
-                self.builder.get_data_field::<u64>(0)
+                self.builder.get_data_field::<u64>(1)
             }
             #[inline]
             pub fn set_offset(&mut self, value: u64)  {
-                self.builder.set_data_field::<u64>(0, value);
+                self.builder.set_data_field::<u64>(1, value);
             }
             #[inline]
             pub fn get_holder(self) -> u64 {
-                self.builder.get_data_field::<u64>(1)
+                self.builder.get_data_field::<u64>(2)
             }
             #[inline]
             pub fn set_holder(&mut self, value: u64)  {
-                self.builder.set_data_field::<u64>(1, value);
+                self.builder.set_data_field::<u64>(2, value);
             }
             #[inline]
             pub fn get_sink(self) -> ::capnp::Result<crate::fleet_capnp::sink::Client> {
@@ -3754,52 +3851,67 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 77] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 92] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(46, 215, 111, 146, 91, 137, 160, 235),
-                ::capnp::word(18, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 3, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 65, 103, 101, 110),
                 ::capnp::word(116, 46, 114, 101, 115, 117, 109, 101),
                 ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
-                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 0, 0, 0, 26, 0, 0, 0),
+                ::capnp::word(125, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(101, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(129, 0, 0, 0, 26, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(105, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(133, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(109, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(137, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(141, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(97, 103, 101, 110, 116, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3835,10 +3947,11 @@
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    3 => <crate::fleet_capnp::sink::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    4 => <crate::fleet_capnp::sink::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -3852,9 +3965,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,1,3];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,3,1,2,4];
             pub(crate) const TYPE_ID: u64 = 0xeba0_895b_926f_d72e;
         }
     }
@@ -4132,6 +4245,10 @@
                 self.reader.total_size()
             }
             #[inline]
+            pub fn get_agent(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+            #[inline]
             pub fn get_id(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
@@ -4141,13 +4258,13 @@
             }
             #[inline]
             pub fn get_attempt(self) -> u32 {
-                self.reader.get_data_field::<u32>(0)
+                self.reader.get_data_field::<u32>(2)
             }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4198,6 +4315,14 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
+            pub fn get_agent(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_agent(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+            #[inline]
             pub fn get_id(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
@@ -4215,11 +4340,11 @@
             }
             #[inline]
             pub fn get_attempt(self) -> u32 {
-                self.builder.get_data_field::<u32>(0)
+                self.builder.get_data_field::<u32>(2)
             }
             #[inline]
             pub fn set_attempt(&mut self, value: u32)  {
-                self.builder.set_data_field::<u32>(0, value);
+                self.builder.set_data_field::<u32>(2, value);
             }
         }
 
@@ -4232,38 +4357,53 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 62] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(3, 168, 98, 141, 180, 133, 160, 226),
-                ::capnp::word(18, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 65, 103, 101, 110),
                 ::capnp::word(116, 46, 99, 97, 110, 99, 101, 108),
                 ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 26, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 26, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(97, 103, 101, 110, 116, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4283,8 +4423,9 @@
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4298,9 +4439,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1];
             pub(crate) const TYPE_ID: u64 = 0xe2a0_85b4_8d62_a803;
         }
     }
@@ -4532,18 +4673,22 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_holder(self) -> u64 {
+            pub fn get_agent(self) -> u64 {
                 self.reader.get_data_field::<u64>(0)
             }
             #[inline]
-            pub fn get_after(self) -> u64 {
+            pub fn get_holder(self) -> u64 {
                 self.reader.get_data_field::<u64>(1)
             }
+            #[inline]
+            pub fn get_after(self) -> u64 {
+                self.reader.get_data_field::<u64>(2)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 0 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4594,21 +4739,29 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_holder(self) -> u64 {
+            pub fn get_agent(self) -> u64 {
                 self.builder.get_data_field::<u64>(0)
             }
             #[inline]
-            pub fn set_holder(&mut self, value: u64)  {
+            pub fn set_agent(&mut self, value: u64)  {
                 self.builder.set_data_field::<u64>(0, value);
             }
             #[inline]
-            pub fn get_after(self) -> u64 {
+            pub fn get_holder(self) -> u64 {
                 self.builder.get_data_field::<u64>(1)
             }
             #[inline]
-            pub fn set_after(&mut self, value: u64)  {
+            pub fn set_holder(&mut self, value: u64)  {
                 self.builder.set_data_field::<u64>(1, value);
             }
+            #[inline]
+            pub fn get_after(self) -> u64 {
+                self.builder.get_data_field::<u64>(2)
+            }
+            #[inline]
+            pub fn set_after(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(2, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4620,17 +4773,17 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(243, 11, 111, 115, 107, 72, 45, 214),
-                ::capnp::word(18, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 3, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
@@ -4638,21 +4791,36 @@
                 ::capnp::word(116, 46, 114, 101, 99, 101, 105, 112),
                 ::capnp::word(116, 115, 36, 80, 97, 114, 97, 109),
                 ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(97, 103, 101, 110, 116, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(104, 111, 108, 100, 101, 114, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4674,6 +4842,7 @@
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4687,9 +4856,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,1];
             pub(crate) const TYPE_ID: u64 = 0xd62d_486b_736f_0bf3;
         }
     }
@@ -4968,10 +5137,14 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_revision(self) -> u64 {
+            pub fn get_agent(self) -> u64 {
                 self.reader.get_data_field::<u64>(0)
             }
             #[inline]
+            pub fn get_revision(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
+            }
+            #[inline]
             pub fn get_holders(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u64>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
@@ -4983,7 +5156,7 @@
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5034,14 +5207,22 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_revision(self) -> u64 {
+            pub fn get_agent(self) -> u64 {
                 self.builder.get_data_field::<u64>(0)
             }
             #[inline]
-            pub fn set_revision(&mut self, value: u64)  {
+            pub fn set_agent(&mut self, value: u64)  {
                 self.builder.set_data_field::<u64>(0, value);
             }
             #[inline]
+            pub fn get_revision(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn set_revision(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(1, value);
+            }
+            #[inline]
             pub fn get_holders(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u64>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
@@ -5068,38 +5249,53 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 52] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 67] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(253, 210, 107, 91, 246, 221, 34, 207),
-                ::capnp::word(18, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 65, 103, 101, 110),
                 ::capnp::word(116, 46, 102, 101, 110, 99, 101, 36),
                 ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(49, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(81, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(97, 103, 101, 110, 116, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(72, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -5125,7 +5321,8 @@
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -5139,9 +5336,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1];
             pub(crate) const TYPE_ID: u64 = 0xcf22_ddf6_5b6b_d2fd;
         }
     }
@@ -7385,11 +7582,19 @@
         pub fn has_crashes(&self) -> bool {
             !self.reader.get_pointer_field(5).is_null()
         }
+        #[inline]
+        pub fn get_prefixes(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u64>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(6), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_prefixes(&self) -> bool {
+            !self.reader.get_pointer_field(6).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 6 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 7 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7535,6 +7740,22 @@
         pub fn has_crashes(&self) -> bool {
             !self.builder.is_pointer_field_null(5)
         }
+        #[inline]
+        pub fn get_prefixes(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u64>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(6), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_prefixes(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(6), value, false)
+        }
+        #[inline]
+        pub fn init_prefixes(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u64> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(6), size)
+        }
+        #[inline]
+        pub fn has_prefixes(&self) -> bool {
+            !self.builder.is_pointer_field_null(6)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -7555,66 +7776,73 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 116] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 136] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(107, 90, 124, 72, 209, 71, 153, 202),
             ::capnp::word(12, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(141, 148, 226, 183, 240, 195, 161, 214),
-            ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 65, 103, 101, 110),
             ::capnp::word(116, 66, 101, 97, 116, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(201, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(221, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(109, 101, 109, 98, 101, 114, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(84, 230, 50, 8, 253, 252, 32, 188),
@@ -7672,6 +7900,19 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 114, 101, 102, 105, 120, 101, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -7681,6 +7922,7 @@
                 3 => <crate::fleet_capnp::versions::Owned as ::capnp::introspect::Introspect>::introspect(),
                 4 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
                 5 => <::capnp::struct_list::Owned<crate::fleet_capnp::crash::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                6 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -7694,9 +7936,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,2,0,4,1,3];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,2,0,4,6,1,3];
         pub(crate) const TYPE_ID: u64 = 0xca99_47d1_487c_5a6b;
     }
 }
@@ -7953,7 +8195,7 @@
     }
 }
 
-pub mod flow {
+pub mod seen {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -8015,15 +8257,15 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_budget(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+        pub fn get_beat(self) -> ::capnp::Result<crate::fleet_capnp::agent_beat::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_budget(&self) -> bool {
+        pub fn has_beat(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_given(self) -> u64 {
+        pub fn get_age_ms(self) -> u64 {
             self.reader.get_data_field::<u64>(0)
         }
     }
@@ -8081,27 +8323,27 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_budget(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+        pub fn get_beat(self) -> ::capnp::Result<crate::fleet_capnp::agent_beat::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_budget(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        pub fn set_beat(&mut self, value: crate::fleet_capnp::agent_beat::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
         }
         #[inline]
-        pub fn init_budget(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(0).init_text(size)
+        pub fn init_beat(self, ) -> crate::fleet_capnp::agent_beat::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
         }
         #[inline]
-        pub fn has_budget(&self) -> bool {
+        pub fn has_beat(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_given(self) -> u64 {
+        pub fn get_age_ms(self) -> u64 {
             self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn set_given(&mut self, value: u64)  {
+        pub fn set_age_ms(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(0, value);
         }
     }
@@ -8113,11 +8355,14 @@
         }
     }
     impl Pipeline  {
+        pub fn get_beat(&self) -> crate::fleet_capnp::agent_beat::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+        }
     }
     mod _private {
         pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(116, 151, 69, 149, 212, 32, 24, 218),
+            ::capnp::word(12, 127, 137, 198, 148, 26, 176, 190),
             ::capnp::word(12, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(141, 148, 226, 183, 240, 195, 161, 214),
             ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
@@ -8129,14 +8374,14 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
-            ::capnp::word(112, 110, 112, 58, 70, 108, 111, 119),
+            ::capnp::word(112, 110, 112, 58, 83, 101, 101, 110),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
@@ -8147,15 +8392,15 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(98, 117, 100, 103, 101, 116, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 101, 97, 116, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(107, 90, 124, 72, 209, 71, 153, 202),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(103, 105, 118, 101, 110, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -8166,7 +8411,7 @@
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                0 => <crate::fleet_capnp::agent_beat::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
@@ -8183,12 +8428,12 @@
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
-        pub(crate) const TYPE_ID: u64 = 0xda18_20d4_9545_9774;
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+        pub(crate) const TYPE_ID: u64 = 0xbeb0_1a94_c689_7f0c;
     }
 }
 
-pub mod seen {
+pub mod gossip {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -8250,22 +8495,50 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_beat(self) -> ::capnp::Result<crate::fleet_capnp::agent_beat::Reader<'a>> {
+        pub fn get_member(self) -> ::capnp::Result<crate::fleet_capnp::member::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_beat(&self) -> bool {
+        pub fn has_member(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_age_ms(self) -> u64 {
-            self.reader.get_data_field::<u64>(0)
+        pub fn get_versions(self) -> ::capnp::Result<crate::fleet_capnp::versions::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_versions(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_seen(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::fleet_capnp::seen::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_seen(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
+        #[inline]
+        pub fn get_crashes(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::fleet_capnp::crash::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_crashes(&self) -> bool {
+            !self.reader.get_pointer_field(3).is_null()
+        }
+        #[inline]
+        pub fn get_fenced(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u64>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_fenced(&self) -> bool {
+            !self.reader.get_pointer_field(4).is_null()
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 5 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -8316,28 +8589,84 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_beat(self) -> ::capnp::Result<crate::fleet_capnp::agent_beat::Builder<'a>> {
+        pub fn get_member(self) -> ::capnp::Result<crate::fleet_capnp::member::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_beat(&mut self, value: crate::fleet_capnp::agent_beat::Reader<'_>) -> ::capnp::Result<()> {
+        pub fn set_member(&mut self, value: crate::fleet_capnp::member::Reader<'_>) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
         }
         #[inline]
-        pub fn init_beat(self, ) -> crate::fleet_capnp::agent_beat::Builder<'a> {
+        pub fn init_member(self, ) -> crate::fleet_capnp::member::Builder<'a> {
             ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
         }
         #[inline]
-        pub fn has_beat(&self) -> bool {
+        pub fn has_member(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_age_ms(self) -> u64 {
-            self.builder.get_data_field::<u64>(0)
+        pub fn get_versions(self) -> ::capnp::Result<crate::fleet_capnp::versions::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_age_ms(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(0, value);
+        pub fn set_versions(&mut self, value: crate::fleet_capnp::versions::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        }
+        #[inline]
+        pub fn init_versions(self, ) -> crate::fleet_capnp::versions::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
+        }
+        #[inline]
+        pub fn has_versions(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_seen(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::fleet_capnp::seen::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_seen(&mut self, value: ::capnp::struct_list::Reader<'_,crate::fleet_capnp::seen::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+        }
+        #[inline]
+        pub fn init_seen(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::fleet_capnp::seen::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+        }
+        #[inline]
+        pub fn has_seen(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
+        #[inline]
+        pub fn get_crashes(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::fleet_capnp::crash::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_crashes(&mut self, value: ::capnp::struct_list::Reader<'_,crate::fleet_capnp::crash::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
+        }
+        #[inline]
+        pub fn init_crashes(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::fleet_capnp::crash::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
+        }
+        #[inline]
+        pub fn has_crashes(&self) -> bool {
+            !self.builder.is_pointer_field_null(3)
+        }
+        #[inline]
+        pub fn get_fenced(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u64>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_fenced(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(4), value, false)
+        }
+        #[inline]
+        pub fn init_fenced(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u64> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(4), size)
+        }
+        #[inline]
+        pub fn has_fenced(&self) -> bool {
+            !self.builder.is_pointer_field_null(4)
         }
     }
 
@@ -8348,64 +8677,128 @@
         }
     }
     impl Pipeline  {
-        pub fn get_beat(&self) -> crate::fleet_capnp::agent_beat::Pipeline {
+        pub fn get_member(&self) -> crate::fleet_capnp::member::Pipeline {
             ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
         }
+        pub fn get_versions(&self) -> crate::fleet_capnp::versions::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
+        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 105] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(12, 127, 137, 198, 148, 26, 176, 190),
-            ::capnp::word(12, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(150, 29, 58, 81, 196, 111, 34, 173),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(141, 148, 226, 183, 240, 195, 161, 214),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
-            ::capnp::word(112, 110, 112, 58, 83, 101, 101, 110),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 110, 112, 58, 71, 111, 115, 115),
+            ::capnp::word(105, 112, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(98, 101, 97, 116, 0, 0, 0, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(177, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(109, 101, 109, 98, 101, 114, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(107, 90, 124, 72, 209, 71, 153, 202),
+            ::capnp::word(84, 230, 50, 8, 253, 252, 32, 188),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(118, 101, 114, 115, 105, 111, 110, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(144, 63, 121, 187, 27, 194, 126, 193),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 101, 110, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 127, 137, 198, 148, 26, 176, 190),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 114, 97, 115, 104, 101, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(82, 7, 52, 180, 99, 107, 225, 163),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 101, 110, 99, 101, 100, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <crate::fleet_capnp::agent_beat::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                0 => <crate::fleet_capnp::member::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <crate::fleet_capnp::versions::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::struct_list::Owned<crate::fleet_capnp::seen::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::struct_list::Owned<crate::fleet_capnp::crash::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                4 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -8419,10 +8812,10 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
-        pub(crate) const TYPE_ID: u64 = 0xbeb0_1a94_c689_7f0c;
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,4,0,2,1];
+        pub(crate) const TYPE_ID: u64 = 0xad22_6fc4_513a_1d96;
     }
 }
 
@@ -9086,10 +9479,14 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_asker(self) -> u64 {
+            pub fn get_giver(self) -> u64 {
                 self.reader.get_data_field::<u64>(0)
             }
             #[inline]
+            pub fn get_asker(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
+            }
+            #[inline]
             pub fn get_budget(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
@@ -9099,17 +9496,17 @@
             }
             #[inline]
             pub fn get_received(self) -> u64 {
-                self.reader.get_data_field::<u64>(1)
+                self.reader.get_data_field::<u64>(2)
             }
             #[inline]
             pub fn get_wanted(self) -> u64 {
-                self.reader.get_data_field::<u64>(2)
+                self.reader.get_data_field::<u64>(3)
             }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -9160,14 +9557,22 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_asker(self) -> u64 {
+            pub fn get_giver(self) -> u64 {
                 self.builder.get_data_field::<u64>(0)
             }
             #[inline]
-            pub fn set_asker(&mut self, value: u64)  {
+            pub fn set_giver(&mut self, value: u64)  {
                 self.builder.set_data_field::<u64>(0, value);
             }
             #[inline]
+            pub fn get_asker(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn set_asker(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(1, value);
+            }
+            #[inline]
             pub fn get_budget(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
@@ -9185,19 +9590,19 @@
             }
             #[inline]
             pub fn get_received(self) -> u64 {
-                self.builder.get_data_field::<u64>(1)
+                self.builder.get_data_field::<u64>(2)
             }
             #[inline]
             pub fn set_received(&mut self, value: u64)  {
-                self.builder.set_data_field::<u64>(1, value);
+                self.builder.set_data_field::<u64>(2, value);
             }
             #[inline]
             pub fn get_wanted(self) -> u64 {
-                self.builder.get_data_field::<u64>(2)
+                self.builder.get_data_field::<u64>(3)
             }
             #[inline]
             pub fn set_wanted(&mut self, value: u64)  {
-                self.builder.set_data_field::<u64>(2, value);
+                self.builder.set_data_field::<u64>(3, value);
             }
         }
 
@@ -9210,52 +9615,67 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 93] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(65, 69, 109, 116, 58, 250, 180, 245),
-                ::capnp::word(19, 0, 0, 0, 1, 0, 3, 0),
+                ::capnp::word(19, 0, 0, 0, 1, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 82, 111, 117, 116),
                 ::capnp::word(101, 114, 46, 100, 114, 97, 119, 36),
                 ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(125, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(101, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(129, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(105, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(133, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(113, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(137, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(145, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(103, 105, 118, 101, 114, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(97, 115, 107, 101, 114, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -9293,9 +9713,10 @@
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -9309,9 +9730,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2,3];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,0,3,4];
             pub(crate) const TYPE_ID: u64 = 0xf5b4_fa3a_746d_4541;
         }
     }
@@ -9369,7 +9790,7 @@
             }
         }
 
-        impl <'a,> Reader<'a,>  {
+        impl <> Reader<'_,>  {
             pub fn reborrow(&self) -> Reader<'_,> {
                 Self { .. *self }
             }
@@ -9378,22 +9799,18 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_flow(self) -> ::capnp::Result<crate::fleet_capnp::flow::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn has_flow(&self) -> bool {
-                !self.reader.get_pointer_field(0).is_null()
+            pub fn get_given(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
             }
             #[inline]
             pub fn get_free(self) -> u64 {
-                self.reader.get_data_field::<u64>(0)
+                self.reader.get_data_field::<u64>(1)
             }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -9444,28 +9861,20 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_flow(self) -> ::capnp::Result<crate::fleet_capnp::flow::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn set_flow(&mut self, value: crate::fleet_capnp::flow::Reader<'_>) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
-            }
-            #[inline]
-            pub fn init_flow(self, ) -> crate::fleet_capnp::flow::Builder<'a> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            pub fn get_given(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
             }
             #[inline]
-            pub fn has_flow(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
+            pub fn set_given(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
             }
             #[inline]
             pub fn get_free(self) -> u64 {
-                self.builder.get_data_field::<u64>(0)
+                self.builder.get_data_field::<u64>(1)
             }
             #[inline]
             pub fn set_free(&mut self, value: u64)  {
-                self.builder.set_data_field::<u64>(0, value);
+                self.builder.set_data_field::<u64>(1, value);
             }
         }
 
@@ -9476,17 +9885,14 @@
             }
         }
         impl Pipeline  {
-            pub fn get_flow(&self) -> crate::fleet_capnp::flow::Pipeline {
-                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
-            }
         }
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(40, 229, 3, 88, 75, 74, 26, 150),
-                ::capnp::word(19, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(19, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -9502,23 +9908,23 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(45, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(102, 108, 111, 119, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(116, 151, 69, 149, 212, 32, 24, 218),
+                ::capnp::word(103, 105, 118, 101, 110, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(102, 114, 101, 101, 0, 0, 0, 0),
@@ -9532,7 +9938,7 @@
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::fleet_capnp::flow::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
@@ -9549,7 +9955,7 @@
             );
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
             pub(crate) const TYPE_ID: u64 = 0x961a_4a4b_5803_e528;
         }
     }
@@ -9616,42 +10022,18 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_member(self) -> ::capnp::Result<crate::fleet_capnp::member::Reader<'a>> {
+            pub fn get_gossip(self) -> ::capnp::Result<crate::fleet_capnp::gossip::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_member(&self) -> bool {
+            pub fn has_gossip(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
-            #[inline]
-            pub fn get_versions(self) -> ::capnp::Result<crate::fleet_capnp::versions::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn has_versions(&self) -> bool {
-                !self.reader.get_pointer_field(1).is_null()
-            }
-            #[inline]
-            pub fn get_seen(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::fleet_capnp::seen::Owned>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn has_seen(&self) -> bool {
-                !self.reader.get_pointer_field(2).is_null()
-            }
-            #[inline]
-            pub fn get_crashes(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::fleet_capnp::crash::Owned>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn has_crashes(&self) -> bool {
-                !self.reader.get_pointer_field(3).is_null()
-            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 4 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -9702,69 +10084,21 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_member(self) -> ::capnp::Result<crate::fleet_capnp::member::Builder<'a>> {
+            pub fn get_gossip(self) -> ::capnp::Result<crate::fleet_capnp::gossip::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_member(&mut self, value: crate::fleet_capnp::member::Reader<'_>) -> ::capnp::Result<()> {
+            pub fn set_gossip(&mut self, value: crate::fleet_capnp::gossip::Reader<'_>) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn init_member(self, ) -> crate::fleet_capnp::member::Builder<'a> {
+            pub fn init_gossip(self, ) -> crate::fleet_capnp::gossip::Builder<'a> {
                 ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
             }
             #[inline]
-            pub fn has_member(&self) -> bool {
+            pub fn has_gossip(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
-            #[inline]
-            pub fn get_versions(self) -> ::capnp::Result<crate::fleet_capnp::versions::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn set_versions(&mut self, value: crate::fleet_capnp::versions::Reader<'_>) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
-            }
-            #[inline]
-            pub fn init_versions(self, ) -> crate::fleet_capnp::versions::Builder<'a> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
-            }
-            #[inline]
-            pub fn has_versions(&self) -> bool {
-                !self.builder.is_pointer_field_null(1)
-            }
-            #[inline]
-            pub fn get_seen(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::fleet_capnp::seen::Owned>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn set_seen(&mut self, value: ::capnp::struct_list::Reader<'_,crate::fleet_capnp::seen::Owned>) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
-            }
-            #[inline]
-            pub fn init_seen(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::fleet_capnp::seen::Owned> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
-            }
-            #[inline]
-            pub fn has_seen(&self) -> bool {
-                !self.builder.is_pointer_field_null(2)
-            }
-            #[inline]
-            pub fn get_crashes(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::fleet_capnp::crash::Owned>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn set_crashes(&mut self, value: ::capnp::struct_list::Reader<'_,crate::fleet_capnp::crash::Owned>) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
-            }
-            #[inline]
-            pub fn init_crashes(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::fleet_capnp::crash::Owned> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
-            }
-            #[inline]
-            pub fn has_crashes(&self) -> bool {
-                !self.builder.is_pointer_field_null(3)
-            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -9774,25 +10108,22 @@
             }
         }
         impl Pipeline  {
-            pub fn get_member(&self) -> crate::fleet_capnp::member::Pipeline {
+            pub fn get_gossip(&self) -> crate::fleet_capnp::gossip::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
             }
-            pub fn get_versions(&self) -> crate::fleet_capnp::versions::Pipeline {
-                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
-            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 87] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(102, 203, 192, 59, 73, 248, 15, 254),
                 ::capnp::word(19, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
@@ -9800,83 +10131,26 @@
                 ::capnp::word(101, 114, 46, 103, 111, 115, 115, 105),
                 ::capnp::word(112, 36, 80, 97, 114, 97, 109, 115),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 0, 0, 0, 58, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(101, 0, 0, 0, 74, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(109, 0, 0, 0, 42, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(129, 0, 0, 0, 66, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(109, 101, 109, 98, 101, 114, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(84, 230, 50, 8, 253, 252, 32, 188),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(118, 101, 114, 115, 105, 111, 110, 115),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(144, 63, 121, 187, 27, 194, 126, 193),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(103, 111, 115, 115, 105, 112, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(150, 29, 58, 81, 196, 111, 34, 173),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(115, 101, 101, 110, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 127, 137, 198, 148, 26, 176, 190),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(99, 114, 97, 115, 104, 101, 115, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(82, 7, 52, 180, 99, 107, 225, 163),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::fleet_capnp::member::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <crate::fleet_capnp::versions::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <::capnp::struct_list::Owned<crate::fleet_capnp::seen::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                    3 => <::capnp::struct_list::Owned<crate::fleet_capnp::crash::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::fleet_capnp::gossip::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -9890,9 +10164,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,0,2,1];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
             pub(crate) const TYPE_ID: u64 = 0xfe0f_f849_3bc0_cb66;
         }
     }
@@ -9959,42 +10233,18 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_member(self) -> ::capnp::Result<crate::fleet_capnp::member::Reader<'a>> {
+            pub fn get_gossip(self) -> ::capnp::Result<crate::fleet_capnp::gossip::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_member(&self) -> bool {
+            pub fn has_gossip(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
-            #[inline]
-            pub fn get_versions(self) -> ::capnp::Result<crate::fleet_capnp::versions::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn has_versions(&self) -> bool {
-                !self.reader.get_pointer_field(1).is_null()
-            }
-            #[inline]
-            pub fn get_seen(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::fleet_capnp::seen::Owned>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn has_seen(&self) -> bool {
-                !self.reader.get_pointer_field(2).is_null()
-            }
-            #[inline]
-            pub fn get_crashes(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::fleet_capnp::crash::Owned>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn has_crashes(&self) -> bool {
-                !self.reader.get_pointer_field(3).is_null()
-            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 4 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -10045,69 +10295,21 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_member(self) -> ::capnp::Result<crate::fleet_capnp::member::Builder<'a>> {
+            pub fn get_gossip(self) -> ::capnp::Result<crate::fleet_capnp::gossip::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_member(&mut self, value: crate::fleet_capnp::member::Reader<'_>) -> ::capnp::Result<()> {
+            pub fn set_gossip(&mut self, value: crate::fleet_capnp::gossip::Reader<'_>) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn init_member(self, ) -> crate::fleet_capnp::member::Builder<'a> {
+            pub fn init_gossip(self, ) -> crate::fleet_capnp::gossip::Builder<'a> {
                 ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
             }
             #[inline]
-            pub fn has_member(&self) -> bool {
+            pub fn has_gossip(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
-            #[inline]
-            pub fn get_versions(self) -> ::capnp::Result<crate::fleet_capnp::versions::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn set_versions(&mut self, value: crate::fleet_capnp::versions::Reader<'_>) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
-            }
-            #[inline]
-            pub fn init_versions(self, ) -> crate::fleet_capnp::versions::Builder<'a> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
-            }
-            #[inline]
-            pub fn has_versions(&self) -> bool {
-                !self.builder.is_pointer_field_null(1)
-            }
-            #[inline]
-            pub fn get_seen(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::fleet_capnp::seen::Owned>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn set_seen(&mut self, value: ::capnp::struct_list::Reader<'_,crate::fleet_capnp::seen::Owned>) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
-            }
-            #[inline]
-            pub fn init_seen(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::fleet_capnp::seen::Owned> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
-            }
-            #[inline]
-            pub fn has_seen(&self) -> bool {
-                !self.builder.is_pointer_field_null(2)
-            }
-            #[inline]
-            pub fn get_crashes(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::fleet_capnp::crash::Owned>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn set_crashes(&mut self, value: ::capnp::struct_list::Reader<'_,crate::fleet_capnp::crash::Owned>) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
-            }
-            #[inline]
-            pub fn init_crashes(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::fleet_capnp::crash::Owned> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
-            }
-            #[inline]
-            pub fn has_crashes(&self) -> bool {
-                !self.builder.is_pointer_field_null(3)
-            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -10117,25 +10319,22 @@
             }
         }
         impl Pipeline  {
-            pub fn get_member(&self) -> crate::fleet_capnp::member::Pipeline {
+            pub fn get_gossip(&self) -> crate::fleet_capnp::gossip::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
             }
-            pub fn get_versions(&self) -> crate::fleet_capnp::versions::Pipeline {
-                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
-            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 87] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(57, 210, 94, 54, 177, 221, 162, 190),
                 ::capnp::word(19, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
@@ -10143,83 +10342,26 @@
                 ::capnp::word(101, 114, 46, 103, 111, 115, 115, 105),
                 ::capnp::word(112, 36, 82, 101, 115, 117, 108, 116),
                 ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 0, 0, 0, 58, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(101, 0, 0, 0, 74, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(109, 0, 0, 0, 42, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(129, 0, 0, 0, 66, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(109, 101, 109, 98, 101, 114, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(84, 230, 50, 8, 253, 252, 32, 188),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(118, 101, 114, 115, 105, 111, 110, 115),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(144, 63, 121, 187, 27, 194, 126, 193),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(115, 101, 101, 110, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(103, 111, 115, 115, 105, 112, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 127, 137, 198, 148, 26, 176, 190),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(150, 29, 58, 81, 196, 111, 34, 173),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(99, 114, 97, 115, 104, 101, 115, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(82, 7, 52, 180, 99, 107, 225, 163),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::fleet_capnp::member::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <crate::fleet_capnp::versions::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <::capnp::struct_list::Owned<crate::fleet_capnp::seen::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                    3 => <::capnp::struct_list::Owned<crate::fleet_capnp::crash::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::fleet_capnp::gossip::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -10233,9 +10375,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,0,2,1];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
             pub(crate) const TYPE_ID: u64 = 0xbea2_ddb1_365e_d239;
         }
     }
@@ -10734,7 +10876,7 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_asker(self) -> u64 {
+            pub fn get_router(self) -> u64 {
                 self.reader.get_data_field::<u64>(0)
             }
             #[inline]
@@ -10804,11 +10946,11 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_asker(self) -> u64 {
+            pub fn get_router(self) -> u64 {
                 self.builder.get_data_field::<u64>(0)
             }
             #[inline]
-            pub fn set_asker(&mut self, value: u64)  {
+            pub fn set_router(&mut self, value: u64)  {
                 self.builder.set_data_field::<u64>(0, value);
             }
             #[inline]
@@ -10867,7 +11009,7 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
@@ -10885,7 +11027,7 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(97, 115, 107, 101, 114, 0, 0, 0),
+                ::capnp::word(114, 111, 117, 116, 101, 114, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -10935,7 +11077,7 @@
             );
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0];
             pub(crate) const TYPE_ID: u64 = 0xb2f9_9e20_660d_115d;
         }
     }
--- a/src/protocol/run.rs
+++ b/src/protocol/run.rs
@@ -5,7 +5,7 @@
 use crate::{
     code::Code,
     error,
-    protocol::fleet_capnp,
+    protocol::{fleet_capnp, wire::text},
     state::{member, name, receipt},
 };
 
@@ -52,6 +52,10 @@
     pub stream: bool,
     /// Whether the attempt must run with no neighbours.
     pub solo: bool,
+    /// Hash of the prompt's prefix; zero when unknown.
+    pub prefix: u64,
+    /// Whether the call may be run again after an unclear failure.
+    pub idempotent: bool,
 }
 
 /// How an attempt ended.
@@ -96,12 +100,6 @@
     }
 }
 
-fn text(reader: capnp::text::Reader<'_>) -> Result<name::Name, error::Error> {
-    Ok(name::Name::from(
-        reader.to_str().map_err(capnp::Error::from)?,
-    ))
-}
-
 /// Writes a request into a message.
 pub fn write_request(req: &RunRequest, mut to: fleet_capnp::run_request::Builder<'_>) {
     to.set_id(&*req.id);
@@ -124,6 +122,8 @@
     to.set_method(&*req.method);
     to.set_stream(req.stream);
     to.set_solo(req.solo);
+    to.set_prefix(req.prefix);
+    to.set_idempotent(req.idempotent);
 }
 
 /// Reads a request from a message.
@@ -155,6 +155,8 @@
         method: text(from.get_method()?)?.to_string(),
         stream: from.get_stream(),
         solo: from.get_solo(),
+        prefix: from.get_prefix(),
+        idempotent: from.get_idempotent(),
     })
 }
 
--- /dev/null
+++ b/src/protocol/wire.rs
@@ -0,0 +1,231 @@
+//! Reads and writes the fleet's messages.
+
+use std::time;
+
+use capnp::{primitive_list, text_list};
+
+use crate::{
+    code::Code,
+    coordination::roster,
+    error,
+    protocol::{fleet_capnp, messages, run},
+    state::{member, name},
+};
+
+/// Reads a name.
+///
+/// # Errors
+///
+/// [`error::Error::Rpc`] when it is not UTF-8.
+pub fn text(reader: capnp::text::Reader<'_>) -> Result<name::Name, error::Error> {
+    Ok(name::Name::from(
+        reader.to_str().map_err(capnp::Error::from)?,
+    ))
+}
+
+/// Writes incarnations.
+pub fn write_ids(ids: &[member::Incarnation], mut to: primitive_list::Builder<'_, u64>) {
+    for (index, id) in ids.iter().enumerate() {
+        to.set(index as u32, *id);
+    }
+}
+
+/// Reads incarnations.
+pub fn read_ids(from: primitive_list::Reader<'_, u64>) -> Vec<member::Incarnation> {
+    from.iter().collect()
+}
+
+fn write_names(names: &[name::Name], mut to: text_list::Builder<'_>) {
+    for (index, name) in names.iter().enumerate() {
+        to.set(index as u32, &**name);
+    }
+}
+
+fn read_names(from: text_list::Reader<'_>) -> Result<Vec<name::Name>, error::Error> {
+    from.iter().map(|name| text(name?)).collect()
+}
+
+/// Writes versions.
+pub fn write_versions(versions: messages::Versions, mut to: fleet_capnp::versions::Builder<'_>) {
+    to.set_config(versions.config);
+    to.set_fences(versions.fences);
+}
+
+/// Reads versions.
+pub fn read_versions(from: fleet_capnp::versions::Reader<'_>) -> messages::Versions {
+    messages::Versions {
+        config: from.get_config(),
+        fences: from.get_fences(),
+    }
+}
+
+/// Writes a load.
+pub fn write_load(load: roster::Load, mut to: fleet_capnp::load::Builder<'_>) {
+    to.set_running(load.running);
+    to.set_queued(load.queued);
+    to.set_slots(load.slots);
+    to.set_draining(load.draining);
+    to.set_down(load.down);
+}
+
+/// Reads a load.
+pub fn read_load(from: fleet_capnp::load::Reader<'_>) -> roster::Load {
+    roster::Load {
+        running: from.get_running(),
+        queued: from.get_queued(),
+        slots: from.get_slots(),
+        draining: from.get_draining(),
+        down: from.get_down(),
+    }
+}
+
+fn write_crashes(
+    crashes: &[messages::Crash],
+    mut to: capnp::struct_list::Builder<'_, fleet_capnp::crash::Owned>,
+) {
+    for (index, crash) in crashes.iter().enumerate() {
+        let mut to = to.reborrow().get(index as u32);
+        to.set_fingerprint(crash.fingerprint);
+        to.set_count(crash.count);
+        to.set_age_ms(crash.age.as_millis() as u64);
+    }
+}
+
+fn read_crashes(
+    from: capnp::struct_list::Reader<'_, fleet_capnp::crash::Owned>,
+) -> Vec<messages::Crash> {
+    let read = |crash: fleet_capnp::crash::Reader<'_>| messages::Crash {
+        fingerprint: crash.get_fingerprint(),
+        count: crash.get_count(),
+        age: time::Duration::from_millis(crash.get_age_ms()),
+    };
+    from.iter().map(read).collect()
+}
+
+/// Writes a heartbeat.
+pub fn write_beat(beat: &messages::AgentBeat, mut to: fleet_capnp::agent_beat::Builder<'_>) {
+    run::write_member(&beat.member, to.reborrow().init_member());
+    to.set_service(&*beat.service);
+    write_load(beat.load, to.reborrow().init_load());
+    write_versions(beat.versions, to.reborrow().init_versions());
+    write_names(
+        &beat.models,
+        to.reborrow().init_models(beat.models.len() as u32),
+    );
+    write_crashes(
+        &beat.crashes,
+        to.reborrow().init_crashes(beat.crashes.len() as u32),
+    );
+    write_ids(&beat.prefixes, to.init_prefixes(beat.prefixes.len() as u32));
+}
+
+/// Reads a heartbeat.
+///
+/// # Errors
+///
+/// [`error::Error::Rpc`] when the message is malformed.
+pub fn read_beat(
+    from: fleet_capnp::agent_beat::Reader<'_>,
+) -> Result<messages::AgentBeat, error::Error> {
+    Ok(messages::AgentBeat {
+        member: run::read_member(from.get_member()?)?,
+        service: text(from.get_service()?)?,
+        load: read_load(from.get_load()?),
+        versions: read_versions(from.get_versions()?),
+        models: read_names(from.get_models()?)?,
+        crashes: read_crashes(from.get_crashes()?),
+        prefixes: read_ids(from.get_prefixes()?),
+    })
+}
+
+/// Writes what a router tells another.
+pub fn write_gossip(gossip: &messages::Gossip, mut to: fleet_capnp::gossip::Builder<'_>) {
+    run::write_member(&gossip.member, to.reborrow().init_member());
+    write_versions(gossip.versions, to.reborrow().init_versions());
+    let mut seen = to.reborrow().init_seen(gossip.seen.len() as u32);
+    for (index, entry) in gossip.seen.iter().enumerate() {
+        let mut to = seen.reborrow().get(index as u32);
+        to.set_age_ms(entry.age.as_millis() as u64);
+        write_beat(&entry.beat, to.init_beat());
+    }
+    write_crashes(
+        &gossip.crashes,
+        to.reborrow().init_crashes(gossip.crashes.len() as u32),
+    );
+    write_ids(&gossip.fenced, to.init_fenced(gossip.fenced.len() as u32));
+}
+
+/// Reads what a router tells.
+///
+/// # Errors
+///
+/// [`error::Error::Rpc`] when the message is malformed.
+pub fn read_gossip(
+    from: fleet_capnp::gossip::Reader<'_>,
+) -> Result<messages::Gossip, error::Error> {
+    let mut seen = Vec::new();
+    for entry in from.get_seen()?.iter() {
+        seen.push(messages::Seen {
+            beat: read_beat(entry.get_beat()?)?,
+            age: time::Duration::from_millis(entry.get_age_ms()),
+        });
+    }
+    Ok(messages::Gossip {
+        member: run::read_member(from.get_member()?)?,
+        versions: read_versions(from.get_versions()?),
+        seen,
+        crashes: read_crashes(from.get_crashes()?),
+        fenced: read_ids(from.get_fenced()?),
+    })
+}
+
+/// Writes an order.
+pub fn write_order(order: &messages::Order, mut to: fleet_capnp::order::Builder<'_>) {
+    to.set_pool(&*order.pool);
+    to.set_fencing(order.fencing);
+    to.set_action(&*order.action);
+    to.set_subject(&*order.subject);
+    to.set_version(&*order.version);
+    to.set_checked(order.checked);
+}
+
+/// Reads an order.
+///
+/// # Errors
+///
+/// [`error::Error::Rpc`] when the message is malformed.
+pub fn read_order(from: fleet_capnp::order::Reader<'_>) -> Result<messages::Order, error::Error> {
+    Ok(messages::Order {
+        pool: text(from.get_pool()?)?,
+        fencing: from.get_fencing(),
+        action: text(from.get_action()?)?.to_string(),
+        subject: text(from.get_subject()?)?.to_string(),
+        version: text(from.get_version()?)?.to_string(),
+        checked: from.get_checked(),
+    })
+}
+
+/// Writes what became of an order.
+pub fn write_order_result(
+    result: &messages::OrderResult,
+    mut to: fleet_capnp::order_result::Builder<'_>,
+) {
+    to.set_code(result.code as u16);
+    to.set_newest(result.newest);
+    to.set_message(&*result.message);
+}
+
+/// Reads what became of an order.
+///
+/// # Errors
+///
+/// [`error::Error::Rpc`] when the message is malformed.
+pub fn read_order_result(
+    from: fleet_capnp::order_result::Reader<'_>,
+) -> Result<messages::OrderResult, error::Error> {
+    Ok(messages::OrderResult {
+        code: Code::from_number(from.get_code()).unwrap_or(Code::Internal),
+        newest: from.get_newest(),
+        message: text(from.get_message()?)?.to_string(),
+    })
+}
--- a/src/router.rs
+++ b/src/router.rs
@@ -14,59 +14,93 @@
     error,
     protocol::fleet_capnp,
     settings,
-    state::{config, member},
-    transport::{admin, fleet_link, links, store, timers, workers},
+    state::{fences, member, name},
+    transport::{admin, dialler, fleet, fleet_link, router_rpc, runtime, store, vms, workers},
 };
 
+pub mod ask;
 mod billing;
-mod exchange;
-mod follow;
+mod calls;
+pub mod exchange;
+pub mod follow;
 mod front;
-mod request;
-mod service;
+mod members;
+pub mod request;
+
+const IDLE_POLL: Duration = Duration::from_millis(50);
+
+/// What a router is made of.
+pub struct Parts {
+    /// Checked settings.
+    pub settings: settings::Settings,
+    /// `IP:port` of the fleet listener.
+    pub address: name::Name,
+    /// Clock, tasks and random numbers.
+    pub runtime: runtime::Runtime,
+    /// Calls to other members.
+    pub fleet: fleet::Fleet,
+    /// Key-value service.
+    pub store: store::Store,
+    /// List of VMs.
+    pub vms: vms::Vms,
+}
 
 /// Everything that the parts of a router share.
 ///
-/// Lock order: `config`, then `roster`, then the locks of `escrow`.
+/// Lock order: `config`, `roster`, `peers`, `fences`, then the locks of `escrow`.
 pub struct Router {
     /// Checked settings.
     pub settings: settings::Settings,
     /// This router.
     pub member: member::Member,
-    /// Clock.
-    pub timers: timers::Timers,
+    runtime: runtime::Runtime,
+    fleet: fleet::Fleet,
+    store: store::Store,
+    vms: vms::Vms,
     config: RwLock<Arc<follow::InForce>>,
     roster: Mutex<roster::Roster>,
+    peers: Mutex<Vec<name::Name>>,
+    fences: Mutex<fences::Fences>,
     escrow: escrow::Escrow,
     billing: billing::Billing,
-    store: store::Store,
-    links: links::Links,
     in_flight: AtomicU32,
     leaving: AtomicBool,
 }
 
 impl Router {
-    fn new(settings: settings::Settings, address: &str, links: links::Links) -> Self {
+    /// Puts a router together; [`start`](Self::start) begins its work.
+    pub fn new(parts: Parts) -> Arc<Self> {
+        let settings = parts.settings;
         let member = member::Member {
             name: settings.name.clone(),
-            incarnation: fastrand::u64(1..),
-            address: address.into(),
+            incarnation: (parts.runtime.random)().max(1),
+            address: parts.address,
             region: settings.region.clone(),
             zone: settings.zone.clone(),
         };
-        Self {
-            store: store::Store::new(&settings.store),
+        Arc::new(Self {
             settings,
             member,
-            timers: timers::Timers::default(),
+            runtime: parts.runtime,
+            fleet: parts.fleet,
+            store: parts.store,
+            vms: parts.vms,
             config: RwLock::default(),
             roster: Mutex::default(),
+            peers: Mutex::default(),
+            fences: Mutex::default(),
             escrow: escrow::Escrow::default(),
             billing: billing::Billing::default(),
-            links,
             in_flight: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
-        }
+        })
+    }
+
+    /// Starts the parts that work by themselves.
+    pub fn start(self: &Arc<Self>) {
+        follow::start(self.clone());
+        billing::start(self.clone());
+        members::start(self.clone());
     }
 
     /// Configuration in force.
@@ -74,23 +108,41 @@
         self.config.read().unwrap().clone()
     }
 
-    fn readiness(&self) -> Option<String> {
+    /// Tells why the router is not ready; `None` when it is.
+    pub fn readiness(&self) -> Option<String> {
         if self.leaving.load(Ordering::Relaxed) {
             return Some("leaving".to_owned());
         }
-        let config: &config::Config = &self.config().config;
-        (config.version == 0).then(|| "no configuration has been read yet".to_owned())
+        let version = self.config().config.version;
+        (version == 0).then(|| "no configuration has been read yet".to_owned())
     }
 
-    fn status(&self) -> String {
+    /// A summary as JSON.
+    pub fn status(&self) -> String {
+        let roster = self.roster.lock().unwrap();
+        let agents: Vec<_> = roster.all().map(|agent| &agent.member.name).collect();
         serde_json::json!({
             "member": self.member,
             "config": self.config().config.version,
             "in_flight": self.in_flight.load(Ordering::Relaxed),
-            "agents": self.roster.lock().unwrap().all().map(|agent| &*agent.member.name).collect::<Vec<_>>(),
+            "agents": agents,
+            "peers": *self.peers.lock().unwrap(),
         })
         .to_string()
     }
+
+    /// Finishes what is in flight and settles, up to the limit of the settings.
+    pub async fn leave(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+        let timers = &self.runtime.timers;
+        let idle = async {
+            while self.in_flight.load(Ordering::Relaxed) > 0 {
+                timers.sleep(IDLE_POLL).await;
+            }
+        };
+        timers.within(self.settings.drain, idle).await;
+        billing::flush(self).await;
+    }
 }
 
 /// Runs a router until `stop` ends, then finishes what is in flight.
@@ -104,14 +156,21 @@
 ) -> Result<(), error::Error> {
     let recorder = admin::install_recorder()?;
     let callers = TcpListener::bind(settings.listen)?;
-    let fleet = TcpListener::bind(settings.fleet_listen)?;
+    let listener = TcpListener::bind(settings.fleet_listen)?;
     let admin_listener = TcpListener::bind(settings.admin_listen)?;
-    let address = fleet.local_addr()?.to_string();
+    let address: name::Name = listener.local_addr()?.to_string().into();
     let workers = workers::Workers::start("fleet", settings.workers)?;
     let key: fleet_link::FleetKey = settings.fleet_key.clone().into();
-    let links = links::Links::new(workers.clone(), key.clone());
-    let drain_limit = settings.drain;
-    let router = Arc::new(Router::new(settings, &address, links));
+    let runtime = runtime::Runtime::default();
+    let dialler = dialler::Dialler::new(workers.clone(), key.clone(), runtime.timers.clone());
+    let router = Router::new(Parts {
+        address,
+        fleet: fleet::Fleet::over_rpc(&dialler),
+        store: store::Store::over_http(&settings.store),
+        vms: vms::Vms::over_http(&settings.vms),
+        runtime,
+        settings,
+    });
 
     let (ready, page) = (router.clone(), router.clone());
     let admin = admin::start(
@@ -120,28 +179,25 @@
         Arc::new(move || ready.readiness()),
         Arc::new(move |path| (path == "/status").then(|| page.status())),
     )?;
-    let offered = router.clone();
+    let served = router.clone();
+    let handler: router_rpc::Handler = Arc::new(move |call| {
+        let router = served.clone();
+        Box::pin(async move { router.handle(call).await })
+    });
     let offer = move |_: &workers::Local| {
-        let service = service::Service::new(offered.clone());
-        let client: fleet_capnp::router::Client = capnp_rpc::new_client(service);
+        let server = router_rpc::Server::new(handler.clone());
+        let client: fleet_capnp::router::Client = capnp_rpc::new_client(server);
         client.client
     };
-    let listener = fleet_link::adopt(fleet)?;
+    let listener = fleet_link::adopt(listener)?;
     let accepting = smol::spawn(fleet_link::serve(listener, key, workers, offer));
-    follow::start(router.clone());
-    billing::start(router.clone());
+    router.start();
     let front = front::start(router.clone(), callers)?;
     tracing::info!("router: {} takes requests.", router.member.name);
 
     stop.await;
     tracing::info!("router: leaving.");
-    router.leaving.store(true, Ordering::Relaxed);
-    let idle = async {
-        while router.in_flight.load(Ordering::Relaxed) > 0 {
-            router.timers.sleep(Duration::from_millis(50)).await;
-        }
-    };
-    timers::within(drain_limit, idle).await;
+    router.leave().await;
     front.shut_down().await;
     billing::flush(&router).await;
     drop(accepting);
--- /dev/null
+++ b/src/router/ask.rs
@@ -0,0 +1,39 @@
+//! A caller's question, free of HTTP.
+
+use std::sync::Arc;
+
+use crate::router::{Router, exchange, request};
+
+/// What a caller sent.
+#[derive(Clone, Debug, Default)]
+pub struct Ask {
+    /// Value of the `Authorization` header.
+    pub authorization: Option<String>,
+    /// Value of the `Idempotency-Key` header.
+    pub key: Option<String>,
+    /// HTTP method.
+    pub method: String,
+    /// Path and query.
+    pub path: String,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+impl Router {
+    /// Checks a question and runs it until its answer begins.
+    ///
+    /// # Errors
+    ///
+    /// A refusal that tells whether the request may have run.
+    pub async fn ask(
+        self: &Arc<Self>,
+        ask: &Ask,
+    ) -> Result<(request::Request, exchange::Answer), request::Refusal> {
+        let in_force = self.config();
+        let workspace = request::workspace_of(&in_force, ask.authorization.as_deref())?;
+        let mut rng = self.runtime.rng();
+        let req = request::read(&in_force, &workspace, ask, rng.u128(..))?;
+        let answer = exchange::start(self, &req).await?;
+        Ok((req, answer))
+    }
+}
--- a/src/router/billing.rs
+++ b/src/router/billing.rs
@@ -46,13 +46,13 @@
 
 /// Starts writing the holder's record.
 pub fn start(router: Arc<Router>) {
-    smol::spawn(async move {
-        let ticks = router.timers.every(FLUSH_PERIOD);
+    let runtime = router.runtime.clone();
+    runtime.spawn(async move {
+        let ticks = router.runtime.every(FLUSH_PERIOD);
         while ticks.recv().await.is_ok() {
             flush(&router).await;
         }
-    })
-    .detach();
+    });
 }
 
 /// Writes the holder's record if it changed.
--- /dev/null
+++ b/src/router/calls.rs
@@ -0,0 +1,31 @@
+//! Calls to a router from other members.
+
+use crate::{protocol::messages, router::Router};
+
+impl Router {
+    /// Answers a call; `None` when another incarnation is meant or the call is not served.
+    pub async fn handle(&self, call: messages::RouterCall) -> Option<messages::RouterReply> {
+        match call {
+            messages::RouterCall::Beat(beat) => Some(self.take_beat(beat)),
+            messages::RouterCall::Status => Some(messages::RouterReply::Status(self.status())),
+            _ => None,
+        }
+    }
+
+    fn take_beat(&self, beat: messages::AgentBeat) -> messages::RouterReply {
+        let now = self.runtime.timers.now();
+        self.roster
+            .lock()
+            .unwrap()
+            .beat(beat.member, beat.service, beat.load, now);
+        let config = self.config().config.version;
+        let fences = self.fences.lock().unwrap();
+        messages::RouterReply::Beat {
+            versions: messages::Versions {
+                config,
+                fences: fences.revision,
+            },
+            fenced: fences.holders.iter().copied().collect(),
+        }
+    }
+}
--- a/src/router/exchange.rs
+++ b/src/router/exchange.rs
@@ -10,7 +10,7 @@
     protocol::run,
     router::{Router, billing, request},
     state::{member, name},
-    transport::{links, timers},
+    transport::{fleet, timers},
 };
 
 const ATTEMPTS: u32 = 3;
@@ -39,7 +39,7 @@
     router: &Arc<Router>,
     req: &request::Request,
 ) -> Result<Answer, request::Refusal> {
-    let arrived = router.timers.now();
+    let arrived = router.runtime.timers.now();
     let reserved = billing::reserve(router, &req.budget, req.bound).await;
     reserved.map_err(|code| budget_refusal(code, req))?;
     let mut tried = Vec::new();
@@ -49,9 +49,11 @@
             break;
         };
         tried.push(target.member.name.clone());
-        let left = req.deadline.saturating_sub(router.timers.now() - arrived);
+        let left = req
+            .deadline
+            .saturating_sub(router.runtime.timers.now() - arrived);
         let message = compose(router, req, &target, number, left);
-        let attempt = router.links.run(target.member.address.clone(), message);
+        let attempt = (router.fleet.run)(target.member.address.clone(), message);
         match begin(router, req, target, attempt, left).await {
             Ok(answer) => return Ok(answer),
             Err(refusal) if refusal.may_have_run => return Err(refusal),
@@ -75,11 +77,11 @@
 }
 
 fn choose(router: &Router, req: &request::Request, tried: &[name::Name]) -> Option<Target> {
-    let now = router.timers.now();
+    let now = router.runtime.timers.now();
     let mut roster = router.roster.lock().unwrap();
     let candidates: Vec<_> = roster.available(&req.services, now).collect();
     let zone = &router.member.zone;
-    let agent = balance::choose(&candidates, zone, tried, &mut fastrand::Rng::new())?;
+    let agent = balance::choose(&candidates, zone, tried, &mut router.runtime.rng())?;
     let target = Target {
         member: agent.member.clone(),
         service: agent.service.clone(),
@@ -116,6 +118,8 @@
         method: String::new(),
         stream: req.stream,
         solo: false,
+        prefix: 0,
+        idempotent: req.route.idempotent,
     }
 }
 
@@ -124,17 +128,21 @@
     router: &Arc<Router>,
     req: &request::Request,
     target: Target,
-    attempt: links::Attempt,
+    attempt: fleet::Attempt,
     left: timers::Now,
 ) -> Result<Answer, request::Refusal> {
-    let first = timers::within(left, attempt.chunks.recv()).await;
+    let first = router
+        .runtime
+        .timers
+        .within(left, attempt.chunks.recv())
+        .await;
     if let Some(Ok(first)) = first {
         return Ok(relay(router.clone(), req, target, attempt, first));
     }
     drop(attempt.chunks);
     let outcome = attempt.outcome.recv().await;
     router.roster.lock().unwrap().count(&target.member.name, -1);
-    let outcome = outcome.unwrap_or_else(|_| lost());
+    let outcome = outcome.unwrap_or_else(|_| fleet::lost("the attempt was lost"));
     if outcome.code == Code::NoBackend {
         router.roster.lock().unwrap().suspect(&target.member.name);
     }
@@ -149,23 +157,18 @@
     })
 }
 
-fn lost() -> run::RunOutcome {
-    let mut lost = run::RunOutcome::not_run(Code::AgentLost, "the attempt was lost");
-    lost.ran = true;
-    lost
-}
-
 fn relay(
     router: Arc<Router>,
     req: &request::Request,
     target: Target,
-    attempt: links::Attempt,
+    attempt: fleet::Attempt,
     first: Vec<u8>,
 ) -> Answer {
     let (tx, chunks) = async_channel::bounded(CHUNKS_TO_CALLER);
     let (end_tx, end) = async_channel::bounded(1);
     let req = req.clone();
-    smol::spawn(async move {
+    let runtime = router.runtime.clone();
+    runtime.spawn(async move {
         let mut next = Some(first);
         while let Some(chunk) = next {
             if tx.send(chunk).await.is_err() {
@@ -174,12 +177,15 @@
             next = attempt.chunks.recv().await.ok();
         }
         drop(attempt.chunks);
-        let outcome = attempt.outcome.recv().await.unwrap_or_else(|_| lost());
+        let outcome = attempt
+            .outcome
+            .recv()
+            .await
+            .unwrap_or_else(|_| fleet::lost("the attempt was lost"));
         router.roster.lock().unwrap().count(&target.member.name, -1);
         settle(&router, &req, &target, &outcome);
         let _ = end_tx.send(outcome).await;
-    })
-    .detach();
+    });
     Answer { chunks, end }
 }
 
--- a/src/router/follow.rs
+++ b/src/router/follow.rs
@@ -29,8 +29,9 @@
 
 /// Starts following the head.
 pub fn start(router: Arc<Router>) {
-    smol::spawn(async move {
-        let ticks = router.timers.every(POLL_PERIOD);
+    let runtime = router.runtime.clone();
+    runtime.spawn(async move {
+        let ticks = router.runtime.every(POLL_PERIOD);
         loop {
             if let Err(err) = poll(&router).await {
                 tracing::warn!("config: {err}.");
@@ -39,8 +40,7 @@
                 return;
             }
         }
-    })
-    .detach();
+    });
 }
 
 async fn poll(router: &Router) -> Result<(), error::Error> {
--- a/src/router/front.rs
+++ b/src/router/front.rs
@@ -7,13 +7,13 @@
 
 use futures::{TryStreamExt, stream};
 use metrics::counter;
-use trillium::{Body, Conn, KnownHeaderName, Method, Status};
+use trillium::{Body, Conn, KnownHeaderName, Status};
 
 use crate::{
     code::Code,
     error,
     protocol::run,
-    router::{Router, exchange, request},
+    router::{Router, ask, exchange, request},
     transport::http,
 };
 
@@ -40,19 +40,21 @@
 }
 
 async fn answer(router: &Arc<Router>, conn: &mut Conn) -> Result<Body, request::Refusal> {
-    if conn.method() != Method::Post || conn.path() != "/v1/chat/completions" {
-        let message = format!("{} {} is not served", conn.method(), conn.path());
-        return Err(request::Refusal::not_run(Code::UnknownRoute, message));
-    }
-    let in_force = router.config();
     let headers = conn.request_headers();
-    let authorization = headers.get_str(KnownHeaderName::Authorization);
-    let workspace = request::workspace_of(&in_force, authorization)?;
-    let key = headers.get_str("idempotency-key").map(str::to_owned);
+    let mut ask = ask::Ask {
+        authorization: headers
+            .get_str(KnownHeaderName::Authorization)
+            .map(str::to_owned),
+        key: headers.get_str("idempotency-key").map(str::to_owned),
+        method: conn.method().to_string(),
+        path: conn.path_and_query().to_owned(),
+        body: Vec::new(),
+    };
     let body = conn.request_body().read_bytes().await;
-    let body = body.map_err(|err| request::Refusal::not_run(Code::BadRequest, err.to_string()))?;
-    let req = request::read_chat(&in_force, &workspace, key.as_deref(), &body)?;
-    let answer = exchange::start(router, &req).await?;
+    let bad =
+        |err: trillium_http::Error| request::Refusal::not_run(Code::BadRequest, err.to_string());
+    ask.body = body.map_err(bad)?;
+    let (req, answer) = router.ask(&ask).await?;
     conn.insert_response_header("x-request-id", req.id.to_string());
     if req.stream {
         conn.insert_response_header(KnownHeaderName::ContentType, "text/event-stream");
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -8,7 +8,7 @@
     code::Code,
     coordination::publish,
     protocol::chat,
-    router::follow,
+    router::{ask, follow},
     state::{name, route},
 };
 
@@ -83,16 +83,33 @@
     found.ok_or_else(|| refuse("the key is unknown"))
 }
 
-/// Reads and checks a chat completions request.
+/// Path of the chat completions API.
+pub const CHAT_PATH: &str = "/v1/chat/completions";
+
+/// Reads and checks a question.
 ///
 /// # Errors
 ///
 /// A [`Refusal`] that names what is wrong.
-pub fn read_chat(
+pub fn read(
+    in_force: &follow::InForce,
+    workspace: &name::Name,
+    ask: &ask::Ask,
+    id: u128,
+) -> Result<Request, Refusal> {
+    if ask.method != "POST" || ask.path != CHAT_PATH {
+        let message = format!("{} {} is not served", ask.method, ask.path);
+        return Err(Refusal::not_run(Code::UnknownRoute, message));
+    }
+    read_chat(in_force, workspace, ask.key.as_deref(), &ask.body, id)
+}
+
+fn read_chat(
     in_force: &follow::InForce,
     workspace: &name::Name,
     key: Option<&str>,
     body: &[u8],
+    id: u128,
 ) -> Result<Request, Refusal> {
     let bad = |err: serde_json::Error| Refusal::not_run(Code::BadRequest, err.to_string());
     let chat: chat::ChatRequest = serde_json::from_slice(body).map_err(bad)?;
@@ -120,7 +137,7 @@
     }
     let pools = route.pools.iter().filter_map(|pool| set.pools.get(pool));
     Ok(Request {
-        id: format!("req-{:032x}", fastrand::u128(..)).into(),
+        id: format!("req-{:032x}", id).into(),
         workspace: workspace.clone(),
         budget: object.budget.clone(),
         services: pools
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,6 +2,7 @@
 
 pub mod budget;
 pub mod config;
+pub mod fences;
 pub mod holder_record;
 pub mod ledger;
 pub mod member;
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -1,10 +1,15 @@
 //! Sockets, clocks and threads.
 
 pub mod admin;
+pub mod agent_rpc;
+pub mod backend;
+pub mod dialler;
+pub mod fleet;
 pub mod fleet_link;
 pub mod handshake;
 pub mod http;
-pub mod links;
+pub mod router_rpc;
+pub mod runtime;
 pub mod store;
 pub mod timers;
 pub mod vms;
--- /dev/null
+++ b/src/transport/backend.rs
@@ -0,0 +1,109 @@
+//! Calls to the backend server beside an agent.
+
+use std::{io, sync::Arc};
+
+use futures::{AsyncReadExt, future::BoxFuture, stream, stream::BoxStream};
+
+use crate::transport::http;
+
+const READ_BYTES: usize = 16 * 1024;
+
+/// One call.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// HTTP method.
+    pub method: String,
+    /// Path and query.
+    pub path: String,
+    /// Request id.
+    pub id: String,
+    /// Idempotency key; empty for none.
+    pub key: String,
+    /// Body, JSON.
+    pub body: Vec<u8>,
+}
+
+/// Beginning of an answer.
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Body as it arrives; dropping it cancels the call.
+    pub body: BoxStream<'static, io::Result<Vec<u8>>>,
+}
+
+/// Why no answer began.
+#[derive(Clone, Debug)]
+pub struct Failure {
+    /// Whether the call may have reached the backend server.
+    pub may_have_run: bool,
+    /// Cause.
+    pub message: String,
+}
+
+/// Calls the backend server.
+#[derive(Clone)]
+pub struct Backend {
+    /// Sends a call and waits for the head of its answer.
+    pub send: Arc<dyn Fn(Call) -> BoxFuture<'static, Result<Answer, Failure>> + Send + Sync>,
+}
+
+impl Backend {
+    /// Calls the backend server at an `http://` address.
+    pub fn over_http(url: &str) -> Self {
+        let client = http::streaming_client();
+        let url: Arc<str> = url.trim_end_matches('/').into();
+        Self {
+            send: Arc::new(move |call| Box::pin(send(client.clone(), url.clone(), call))),
+        }
+    }
+}
+
+async fn send(
+    client: trillium_client::Client,
+    url: Arc<str>,
+    call: Call,
+) -> Result<Answer, Failure> {
+    let method = call.method.parse().unwrap_or(trillium::Method::Post);
+    let conn = client.build_conn(method, format!("{url}{}", call.path).as_str());
+    let mut conn = conn
+        .with_request_header("content-type", "application/json")
+        .with_request_header("x-request-id", call.id)
+        .with_body(call.body);
+    if !call.key.is_empty() {
+        conn = conn.with_request_header("idempotency-key", call.key);
+    }
+    if let Err(err) = (&mut conn).await {
+        return Err(Failure {
+            may_have_run: !is_refused(&err),
+            message: err.to_string(),
+        });
+    }
+    let status = conn.status().map_or(0, |status| status as u16);
+    Ok(Answer {
+        status,
+        body: Box::pin(stream::unfold(Some(conn), next_part)),
+    })
+}
+
+fn is_refused(err: &trillium_client::Error) -> bool {
+    match err {
+        trillium_client::Error::Io(err) => err.kind() == io::ErrorKind::ConnectionRefused,
+        _ => false,
+    }
+}
+
+type Part = (io::Result<Vec<u8>>, Option<trillium_client::Conn>);
+
+async fn next_part(conn: Option<trillium_client::Conn>) -> Option<Part> {
+    let mut conn = conn?;
+    let mut buf = vec![0; READ_BYTES];
+    let read = conn.response_body().read(&mut buf).await;
+    match read {
+        Ok(0) => None,
+        Ok(read) => {
+            buf.truncate(read);
+            Some((Ok(buf), Some(conn)))
+        }
+        Err(err) => Some((Err(err), None)),
+    }
+}
--- a/src/transport/fleet_link.rs
+++ b/src/transport/fleet_link.rs
@@ -79,7 +79,7 @@
 async fn serve_one(mut stream: TcpStream, key: &[u8], offer: Client) -> Result<(), error::Error> {
     stream.set_nodelay(true)?;
     let peer = stream.peer_addr()?.to_string();
-    handshake::listen(&mut stream, key, &peer).await?;
+    handshake::listen(&mut stream, key, &peer, &timers::Timers::default()).await?;
     RpcSystem::new(network(stream, Side::Server), Some(offer)).await?;
     Ok(())
 }
@@ -94,11 +94,14 @@
     address: &str,
     key: &[u8],
     local: &workers::Local,
+    timers: &timers::Timers,
 ) -> Result<C, error::Error> {
-    let dialled = timers::within(CONNECT_LIMIT, TcpStream::connect(address)).await;
+    let dialled = timers
+        .within(CONNECT_LIMIT, TcpStream::connect(address))
+        .await;
     let mut stream = dialled.unwrap_or_else(|| Err(std::io::ErrorKind::TimedOut.into()))?;
     stream.set_nodelay(true)?;
-    handshake::dial(&mut stream, key, address).await?;
+    handshake::dial(&mut stream, key, address, timers).await?;
     let mut system = RpcSystem::new(network(stream, Side::Client), None);
     let client = system.bootstrap(Side::Server);
     let address = address.to_owned();
--- a/src/transport/handshake.rs
+++ b/src/transport/handshake.rs
@@ -53,11 +53,17 @@
     Ok(expected.verify_slice(&received).is_ok())
 }
 
-async fn prove<S>(stream: &mut S, key: &[u8], side: Side, peer: &str) -> Result<(), error::Error>
+async fn prove<S>(
+    stream: &mut S,
+    key: &[u8],
+    side: Side,
+    peer: &str,
+    timers: &timers::Timers,
+) -> Result<(), error::Error>
 where
     S: AsyncRead + AsyncWrite + Unpin,
 {
-    let done = timers::within(LIMIT, exchange(stream, key, side)).await;
+    let done = timers.within(LIMIT, exchange(stream, key, side)).await;
     match done {
         Some(Ok(true)) => Ok(()),
         Some(Err(err)) => Err(err.into()),
@@ -72,11 +78,16 @@
 /// # Errors
 ///
 /// [`error::Error::Handshake`] when the peer does not hold the key or is too slow.
-pub async fn dial<S>(stream: &mut S, key: &[u8], peer: &str) -> Result<(), error::Error>
+pub async fn dial<S>(
+    stream: &mut S,
+    key: &[u8],
+    peer: &str,
+    timers: &timers::Timers,
+) -> Result<(), error::Error>
 where
     S: AsyncRead + AsyncWrite + Unpin,
 {
-    prove(stream, key, Side::Dialler, peer).await
+    prove(stream, key, Side::Dialler, peer, timers).await
 }
 
 /// Proves the key as the end that listened.
@@ -84,9 +95,14 @@
 /// # Errors
 ///
 /// [`error::Error::Handshake`] when the peer does not hold the key or is too slow.
-pub async fn listen<S>(stream: &mut S, key: &[u8], peer: &str) -> Result<(), error::Error>
+pub async fn listen<S>(
+    stream: &mut S,
+    key: &[u8],
+    peer: &str,
+    timers: &timers::Timers,
+) -> Result<(), error::Error>
 where
     S: AsyncRead + AsyncWrite + Unpin,
 {
-    prove(stream, key, Side::Listener, peer).await
+    prove(stream, key, Side::Listener, peer, timers).await
 }
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use futures::{AsyncBufReadExt, StreamExt, io::BufReader, stream::BoxStream};
 use serde::{Serialize, de::DeserializeOwned};
 use trillium::Handler;
 use trillium_client::Client;
@@ -106,3 +107,42 @@
 ) -> Result<A, error::Error> {
     answer(client.get(url), what, url).await
 }
+
+/// Posts JSON and reads one JSON value of the form `{"result": ...}` a line until the answer ends.
+pub fn lines<Q, A>(
+    client: Client,
+    url: String,
+    body: Q,
+) -> BoxStream<'static, Result<A, error::Error>>
+where
+    Q: Serialize + Send + 'static,
+    A: DeserializeOwned + Send + 'static,
+{
+    let opened = async move {
+        let body = serde_json::to_vec(&body).map_err(|err| failed("stream", &url, err))?;
+        let mut conn = client.post(url.as_str()).with_body(body);
+        (&mut conn)
+            .await
+            .map_err(|err| failed("stream", &url, err))?;
+        let body = conn.take_response_body();
+        let body = body.ok_or_else(|| failed("stream", &url, "the answer has no body"))?;
+        let lines = BufReader::new(body).lines();
+        Ok(lines.map(move |line| {
+            let line = line.map_err(|err| failed("stream", &url, err))?;
+            let read: Line<A> =
+                serde_json::from_str(&line).map_err(|err| failed("stream", &url, err))?;
+            Ok(read.result)
+        }))
+    };
+    futures::stream::once(opened)
+        .flat_map(|opened| match opened {
+            Ok(lines) => lines.boxed(),
+            Err(err) => futures::stream::once(async { Err(err) }).boxed(),
+        })
+        .boxed()
+}
+
+#[derive(serde::Deserialize)]
+struct Line<A> {
+    result: A,
+}
--- a/src/transport/store.rs
+++ b/src/transport/store.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
+use futures::{future::BoxFuture, stream::BoxStream};
 use metrics::counter;
 use serde::Serialize;
 use trillium_client::Client;
@@ -34,11 +35,40 @@
 /// Prefix of the order leases, by pool.
 pub const ORDER_PREFIX: &str = "fulmar/order/";
 
-/// A connection to the key-value service.
+/// One call of the key-value service.
 #[derive(Clone, Debug)]
+pub enum Call {
+    /// Reads keys.
+    Range(kv::RangeRequest),
+    /// Carries out a transaction.
+    Txn(kv::TxnRequest),
+    /// Asks for a lease.
+    LeaseGrant(kv::LeaseRequest),
+    /// Keeps a lease alive.
+    LeaseKeep(kv::LeaseRequest),
+}
+
+/// Answer of the key-value service.
+#[derive(Clone, Debug)]
+pub enum Reply {
+    /// To [`Call::Range`].
+    Range(kv::RangeResponse),
+    /// To [`Call::Txn`].
+    Txn(kv::TxnResponse),
+    /// To [`Call::LeaseGrant`] and [`Call::LeaseKeep`].
+    Lease(kv::LeaseResponse),
+}
+
+/// Changes that a watch reports; it ends when the watch is lost.
+pub type Watch = BoxStream<'static, Result<kv::WatchResult, error::Error>>;
+
+/// A connection to the key-value service, as plain functions that can be replaced.
+#[derive(Clone)]
 pub struct Store {
-    client: Client,
-    url: Arc<str>,
+    /// Carries out a call; an error leaves it open whether a write took effect.
+    pub carry: Arc<dyn Fn(Call) -> BoxFuture<'static, Result<Reply, error::Error>> + Send + Sync>,
+    /// Opens a watch.
+    pub open: Arc<dyn Fn(kv::WatchCreate) -> Watch + Send + Sync>,
 }
 
 /// What a conditional write found.
@@ -51,39 +81,74 @@
 }
 
 impl Store {
-    /// Makes a client of the service at `url`.
+    /// Makes a client of the service at an `http://` address.
     ///
     /// ```
-    /// let store = fulmarproxy::transport::store::Store::new("http://127.0.0.1:2379");
-    /// assert_eq!(store.url(), "http://127.0.0.1:2379");
+    /// fulmarproxy::transport::store::Store::over_http("http://127.0.0.1:2379");
     /// ```
-    pub fn new(url: &str) -> Self {
+    pub fn over_http(url: &str) -> Self {
+        let url: Arc<str> = url.trim_end_matches('/').into();
+        let (client, streaming) = (http::client(CALL_LIMIT), http::streaming_client());
+        let watch_url = format!("{url}/v3/watch");
         Self {
-            client: http::client(CALL_LIMIT),
-            url: url.trim_end_matches('/').into(),
+            carry: Arc::new(move |call| Box::pin(carry(client.clone(), url.clone(), call))),
+            open: Arc::new(move |watch| {
+                http::lines(
+                    streaming.clone(),
+                    watch_url.clone(),
+                    kv::WatchRequest {
+                        create_request: watch,
+                    },
+                )
+            }),
         }
     }
 
-    /// Address of the service.
-    pub fn url(&self) -> &str {
-        &self.url
+    async fn range(&self, req: kv::RangeRequest) -> Result<kv::RangeResponse, error::Error> {
+        match self.counted("range", Call::Range(req)).await? {
+            Reply::Range(answer) => Ok(answer),
+            _ => Err(unexpected("range")),
+        }
     }
 
-    async fn call<Q: Serialize, A: serde::de::DeserializeOwned>(
+    async fn txn(
         &self,
-        call: &'static str,
-        path: &str,
-        body: &Q,
-    ) -> Result<A, error::Error> {
-        counter!("fulmar_store_calls", "call" => call).increment(1);
-        let url = format!("{}{path}", self.url);
-        let answer = http::post(&self.client, call, &url, body).await;
-        answer.map_err(|err| {
-            counter!("fulmar_store_errors", "call" => call).increment(1);
-            error::Error::Store {
-                call,
-                message: err.to_string(),
-            }
+        name: &'static str,
+        req: kv::TxnRequest,
+    ) -> Result<kv::TxnResponse, error::Error> {
+        match self.counted(name, Call::Txn(req)).await? {
+            Reply::Txn(answer) => Ok(answer),
+            _ => Err(unexpected(name)),
+        }
+    }
+
+    async fn lease(
+        &self,
+        name: &'static str,
+        call: Call,
+    ) -> Result<kv::LeaseResponse, error::Error> {
+        match self.counted(name, call).await? {
+            Reply::Lease(answer) => Ok(answer),
+            _ => Err(unexpected(name)),
+        }
+    }
+
+    async fn counted(&self, name: &'static str, call: Call) -> Result<Reply, error::Error> {
+        counter!("fulmar_store_calls", "call" => name).increment(1);
+        let answer = (self.carry)(call).await;
+        if answer.is_err() {
+            counter!("fulmar_store_errors", "call" => name).increment(1);
+        }
+        answer
+    }
+
+    /// Watches all keys with a prefix, or one key, from a revision on.
+    pub fn watch(&self, key: &str, prefix: bool, from: u64) -> Watch {
+        counter!("fulmar_store_calls", "call" => "watch").increment(1);
+        (self.open)(kv::WatchCreate {
+            key: key.into(),
+            range_end: prefix.then(|| kv::prefix_end(key)),
+            start_revision: kv::Number(from),
         })
     }
 
@@ -97,7 +162,7 @@
             key: key.into(),
             range_end: None,
         };
-        let answer: kv::RangeResponse = self.call("get", "/v3/kv/range", &req).await?;
+        let answer = self.range(req).await?;
         Ok(answer.kvs.into_iter().next())
     }
 
@@ -111,7 +176,7 @@
             key: prefix.into(),
             range_end: Some(kv::prefix_end(prefix)),
         };
-        let answer: kv::RangeResponse = self.call("list", "/v3/kv/range", &req).await?;
+        let answer = self.range(req).await?;
         Ok((answer.kvs, answer.header.revision.0))
     }
 
@@ -134,7 +199,7 @@
             success: keys.iter().map(read).collect(),
             ..Default::default()
         };
-        let answer: kv::TxnResponse = self.call("get", "/v3/kv/txn", &req).await?;
+        let answer = self.txn("get", req).await?;
         let found = answer
             .responses
             .into_iter()
@@ -178,7 +243,7 @@
                 range_end: None,
             })],
         };
-        let answer: kv::TxnResponse = self.call("put", "/v3/kv/txn", &req).await?;
+        let answer = self.txn("put", req).await?;
         if answer.succeeded {
             return Ok(Put::Written(answer.header.revision.0));
         }
@@ -211,7 +276,7 @@
             })],
             failure: Vec::new(),
         };
-        let answer: kv::TxnResponse = self.call("delete", "/v3/kv/txn", &req).await?;
+        let answer = self.txn("delete", req).await?;
         Ok(answer.succeeded)
     }
 
@@ -225,7 +290,7 @@
             id: kv::Number(0),
             ttl: kv::Number(ttl),
         };
-        let answer: kv::LeaseResponse = self.call("lease", "/v3/lease/grant", &req).await?;
+        let answer = self.lease("lease_grant", Call::LeaseGrant(req)).await?;
         Ok(answer.id.0)
     }
 
@@ -239,7 +304,50 @@
             id: kv::Number(id),
             ttl: kv::Number(0),
         };
-        let answer: kv::KeepAliveLine = self.call("keep", "/v3/lease/keepalive", &req).await?;
-        Ok(answer.result.ttl.0 > 0)
+        let answer = self.lease("lease_keep", Call::LeaseKeep(req)).await?;
+        Ok(answer.ttl.0 > 0)
+    }
+}
+
+fn unexpected(call: &'static str) -> error::Error {
+    error::Error::Store {
+        call,
+        message: "the answer is of another kind".to_owned(),
     }
 }
+
+async fn carry(client: Client, url: Arc<str>, call: Call) -> Result<Reply, error::Error> {
+    match call {
+        Call::Range(req) => {
+            let answer = post(&client, "range", &url, "/v3/kv/range", &req).await?;
+            Ok(Reply::Range(answer))
+        }
+        Call::Txn(req) => {
+            let answer = post(&client, "txn", &url, "/v3/kv/txn", &req).await?;
+            Ok(Reply::Txn(answer))
+        }
+        Call::LeaseGrant(req) => {
+            let answer = post(&client, "lease_grant", &url, "/v3/lease/grant", &req).await?;
+            Ok(Reply::Lease(answer))
+        }
+        Call::LeaseKeep(req) => {
+            let path = "/v3/lease/keepalive";
+            let line: kv::KeepAliveLine = post(&client, "lease_keep", &url, path, &req).await?;
+            Ok(Reply::Lease(line.result))
+        }
+    }
+}
+
+async fn post<Q: Serialize, A: serde::de::DeserializeOwned>(
+    client: &Client,
+    call: &'static str,
+    url: &str,
+    path: &str,
+    body: &Q,
+) -> Result<A, error::Error> {
+    let answer = http::post(client, call, &format!("{url}{path}"), body).await;
+    answer.map_err(|err| error::Error::Store {
+        call,
+        message: err.to_string(),
+    })
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -237,7 +237,7 @@
 
     /// Tokens that the holders' records in the store count as spent from a budget.
     pub fn billed_tokens(&self, budget: &str) -> u64 {
-        let store = fulmarproxy::transport::store::Store::new(&self.platform_url(""));
+        let store = fulmarproxy::transport::store::Store::over_http(&self.platform_url(""));
         let (found, _) = smol::block_on(store.list("fulmar/holder/")).unwrap();
         let spent = found.iter().map(|kv| {
             let record: Value = serde_json::from_slice(&kv.value.0).unwrap();
