Let the stand-ins batch, crash, lag and lose answers

Cause: tests of overload, crashes, fencing and store faults need backend servers and a platform that bring these failures about and count what really ran. Change: the engine has slots, a queue by priority, a prefix cache, a lagging load report, hard and soft crashes and fenced orders; a plain service counts effects by request and key; the platform has stale reads, a lagging VM list, a bounded history with cancelled watches and call counts by kind. A fault-injecting TCP proxy serves process tests. Conclusion: each fault is shown by a test in tests/standins.rs.

--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -1,30 +1,77 @@
-//! A model engine's stand-in: streams tokens at a set rate and counts what it ran.
+//! A model engine's stand-in: batches, streams tokens at a set rate and counts what it ran.
 
 use std::{
-    collections::HashMap,
     net::TcpListener,
     sync::{Arc, Mutex},
     time::Duration,
 };
 
-use futures::{TryStreamExt, stream};
+use serde::Deserialize;
 use serde_json::json;
-use trillium::{Body, Conn, KnownHeaderName, Status};
+use trillium::{Conn, KnownHeaderName, Status};
 
-use crate::{error, protocol::chat, transport::http};
+use crate::{
+    error,
+    protocol::chat,
+    standin::{batch, counts, crash, engine_run, load_report, orders, prefix_cache, reply},
+    transport::http,
+};
 
 /// How an engine behaves.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Options {
-    /// Time from one token to the next.
+    /// Time from one token to the next in an empty batch.
     pub token_interval: Duration,
+    /// Time to read one prompt token that is not cached.
+    pub prompt_token_time: Duration,
+    /// Requests that run at once.
+    pub slots: usize,
+    /// Requests that wait for a slot.
+    pub queue: usize,
+    /// Blocks of prompt prefixes kept in memory.
+    pub cache: usize,
+    /// Age of the load that is reported.
+    pub load_lag: Duration,
+    /// When and how it crashes.
+    pub crash: crash::Options,
+    /// Whether orders with old fencing numbers are refused.
+    pub checks_fencing: bool,
+    /// Time that an order takes.
+    pub order_time: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            token_interval: Duration::from_millis(1),
+            prompt_token_time: Duration::ZERO,
+            slots: 64,
+            queue: 1024,
+            cache: 4096,
+            load_lag: Duration::ZERO,
+            crash: crash::Options::default(),
+            checks_fencing: false,
+            order_time: Duration::ZERO,
+        }
+    }
 }
 
-/// What an engine ran, by request id.
-#[derive(Debug, Default)]
+/// State of an engine.
 pub struct Engine {
-    runs: Mutex<HashMap<String, u64>>,
-    tokens: Mutex<u64>,
+    pub(super) options: Options,
+    pub(super) batch: Arc<batch::Batch>,
+    pub(super) cache: Mutex<prefix_cache::PrefixCache>,
+    pub(super) counts: counts::Counts,
+    pub(super) crashes: crash::Crashes,
+    load: load_report::LoadReport,
+    orders: orders::Orders,
+}
+
+/// Priority that a request carries, lower first.
+#[derive(Deserialize)]
+struct Priority {
+    #[serde(default)]
+    priority: i64,
 }
 
 /// Starts the stand-in on a bound socket.
@@ -32,132 +79,136 @@
     listener: TcpListener,
     options: Options,
 ) -> Result<trillium_smol::Swansong, error::Error> {
-    let engine = Arc::new(Engine::default());
+    let engine = Arc::new(Engine::new(options));
     let handler = move |conn: Conn| {
         let engine = engine.clone();
-        async move { serve(engine, options, conn).await }
+        async move { serve(engine, conn).await }
     };
     http::serve(listener, handler)
 }
 
-async fn serve(engine: Arc<Engine>, options: Options, mut conn: Conn) -> Conn {
-    if conn.path() == "/counts" {
-        return conn.ok(engine.counts());
+async fn serve(engine: Arc<Engine>, mut conn: Conn) -> Conn {
+    let body = match conn.request_body().read_bytes().await {
+        Ok(body) => body,
+        Err(err) => return reply::bad_request(conn, err),
+    };
+    match conn.path() {
+        "/counts" => reply::json(conn, &engine.all_counts()),
+        "/totals" => reply::json(conn, &engine.totals()),
+        _ if engine.crashes.is_down() => engine.refuse(conn, "restarting"),
+        "/load" => reply::json(conn, &engine.load()),
+        "/orders" => engine.order(conn, &body).await,
+        _ => run(engine, conn, &body).await,
     }
-    let id = conn
-        .request_headers()
-        .get_str("x-request-id")
-        .unwrap_or_default()
-        .to_owned();
-    let body = conn.request_body().read_bytes().await.unwrap_or_default();
-    let req: chat::ChatRequest = match serde_json::from_slice(&body) {
+}
+
+async fn run(engine: Arc<Engine>, mut conn: Conn, body: &[u8]) -> Conn {
+    let req: chat::ChatRequest = match serde_json::from_slice(body) {
         Ok(req) => req,
-        Err(err) => {
-            return conn
-                .with_status(Status::BadRequest)
-                .with_body(err.to_string());
-        }
+        Err(err) => return reply::bad_request(conn, err),
     };
-    let run = Run {
-        prompt: prompt_tokens(&req),
-        wanted: req.answer_limit().unwrap_or(16),
-        made: 0,
-        id,
-        options,
-        engine,
+    let priority = serde_json::from_slice::<Priority>(body).map_or(0, |found| found.priority);
+    let id = conn.request_headers().get_str("x-request-id");
+    let id = id.unwrap_or_default().to_owned();
+    let entered = engine.batch.enter(priority);
+    let Some(entered) = conn.cancel_on_disconnect(entered).await else {
+        return conn;
     };
-    run.engine.begin(&run.id, run.prompt);
+    let Ok(slot) = entered else {
+        return engine.refuse(conn, "the queue is full");
+    };
+    if engine.crashes.is_down() {
+        return engine.refuse(conn, "restarting");
+    }
+    let run = engine_run::Run::begin(engine, slot, id, &req);
     if req.stream {
         conn.insert_response_header(KnownHeaderName::ContentType, "text/event-stream");
-        return conn.ok(stream_answer(run));
+        return conn.ok(run.stream_answer());
+    }
+    match conn.cancel_on_disconnect(run.whole_answer()).await {
+        Some(Ok(answer)) => reply::json(conn, &answer),
+        Some(Err(engine_run::Crashed)) | None => reply::broken(conn),
     }
-    conn.insert_response_header(KnownHeaderName::ContentType, "application/json");
-    conn.ok(whole_answer(run).await)
-}
-
-/// A request that runs.
-struct Run {
-    id: String,
-    prompt: u64,
-    wanted: u64,
-    made: u64,
-    options: Options,
-    engine: Arc<Engine>,
 }
 
-impl Run {
-    async fn next(&mut self) -> Option<String> {
-        if self.made == self.wanted {
-            return None;
+impl Engine {
+    fn new(options: Options) -> Self {
+        Self {
+            batch: batch::Batch::new(options.slots, options.queue),
+            cache: Mutex::new(prefix_cache::PrefixCache::new(options.cache)),
+            counts: counts::Counts::default(),
+            crashes: crash::Crashes::new(options.crash.clone()),
+            load: load_report::LoadReport::new(options.load_lag),
+            orders: orders::Orders::new(options.checks_fencing),
+            options,
         }
-        smol::Timer::after(self.options.token_interval).await;
-        self.made += 1;
-        *self.engine.tokens.lock().unwrap() += 1;
-        Some(format!("{}:{} ", self.id, self.made))
     }
 
-    fn usage(&self) -> chat::Usage {
-        chat::Usage {
-            prompt_tokens: self.prompt,
-            completion_tokens: self.made,
-        }
+    /// Records the present load for the lagging report.
+    pub(super) fn record_load(&self) {
+        self.load.record(self.batch.filling());
     }
-}
 
-impl Engine {
-    fn begin(&self, id: &str, prompt: u64) {
-        *self.runs.lock().unwrap().entry(id.to_owned()).or_default() += 1;
-        *self.tokens.lock().unwrap() += prompt;
+    /// Crashes under every run.
+    pub(super) fn crash(&self) {
+        self.counts.with(|totals| totals.crashes += 1);
+        self.crashes.crash();
     }
 
-    fn counts(&self) -> String {
-        let runs = self.runs.lock().unwrap();
-        let tokens = self.tokens.lock().unwrap();
-        json!({ "tokens": *tokens, "runs": *runs }).to_string()
+    fn refuse(&self, conn: Conn, message: &str) -> Conn {
+        self.counts.with(|totals| totals.refused += 1);
+        let body = json!({ "error": { "message": message, "run": "not run" } });
+        reply::json_with(conn, Status::ServiceUnavailable, &body)
     }
-}
 
-fn prompt_tokens(req: &chat::ChatRequest) -> u64 {
-    let words = |message: &chat::ChatMessage| {
-        message
-            .content
-            .as_str()
-            .unwrap_or_default()
-            .split_whitespace()
-            .count() as u64
-    };
-    req.messages.iter().map(words).sum()
-}
+    fn totals(&self) -> serde_json::Value {
+        let mut totals = counts::Totals::default();
+        self.counts.with(|found| {
+            let (runs, tokens) = (
+                std::mem::take(&mut found.runs),
+                std::mem::take(&mut found.tokens_by_id),
+            );
+            totals = found.clone();
+            (found.runs, found.tokens_by_id) = (runs, tokens);
+        });
+        self.with_state(&totals)
+    }
 
-async fn whole_answer(mut run: Run) -> String {
-    let mut text = String::new();
-    while let Some(token) = run.next().await {
-        text.push_str(&token);
+    fn all_counts(&self) -> serde_json::Value {
+        self.with_state(&self.counts.totals())
     }
-    json!({
-        "id": run.id,
-        "object": "chat.completion",
-        "choices": [{ "index": 0, "message": { "role": "assistant", "content": text } }],
-        "usage": run.usage(),
-    })
-    .to_string()
-}
 
-fn stream_answer(run: Run) -> Body {
-    let events = stream::unfold((run, false), |(mut run, ended)| async move {
-        if ended {
-            return None;
-        }
-        let event = match run.next().await {
-            Some(token) => {
-                let choice = json!({ "index": 0, "delta": { "content": token } });
-                let chunk = json!({ "id": run.id, "choices": [choice] });
-                return Some((Ok(format!("data: {chunk}\n\n").into_bytes()), (run, false)));
-            }
-            None => json!({ "id": run.id, "choices": [], "usage": run.usage() }),
+    fn with_state(&self, totals: &counts::Totals) -> serde_json::Value {
+        let filling = self.batch.filling();
+        let mut value = json!(totals);
+        value["running"] = filling.running.into();
+        value["waiting"] = filling.waiting.into();
+        value["largest_batch"] = filling.largest.into();
+        value["generation"] = self.crashes.generation().into();
+        value["orders"] = json!(self.orders.counts());
+        value
+    }
+
+    fn load(&self) -> serde_json::Value {
+        let filling = self.load.lagged();
+        json!({
+            "running": filling.running,
+            "waiting": filling.waiting,
+            "slots": self.options.slots,
+            "generation": self.crashes.generation(),
+        })
+    }
+
+    async fn order(&self, conn: Conn, body: &[u8]) -> Conn {
+        let order: orders::Order = match serde_json::from_slice(body) {
+            Ok(order) => order,
+            Err(err) => return reply::bad_request(conn, err),
         };
-        let end = format!("data: {event}\n\ndata: [DONE]\n\n").into_bytes();
-        Some((Ok::<_, std::io::Error>(end), (run, true)))
-    });
-    Body::new_streaming(Box::pin(events).into_async_read(), None)
+        if let Err(newest) = self.orders.take(&order) {
+            return reply::json_with(conn, Status::Conflict, &json!({ "newest": newest }));
+        }
+        smol::Timer::after(self.options.order_time).await;
+        self.orders.apply(order);
+        reply::json(conn, &json!({ "newest": self.orders.counts().newest }))
+    }
 }
--- /dev/null
+++ b/src/standin/engine_run.rs
@@ -0,0 +1,155 @@
+//! One run of an engine: tokens at the engine's rate, until it ends or its caller goes.
+
+use std::{sync::Arc, time::Duration};
+
+use futures::{TryStreamExt, stream};
+use serde_json::json;
+use trillium::Body;
+
+use crate::{
+    protocol::chat,
+    standin::{batch, engine},
+};
+
+/// Longest answer when the request names none, in tokens.
+const DEFAULT_ANSWER_TOKENS: u64 = 16;
+
+/// How much longer a token takes when every slot is taken, as a share.
+const FULL_BATCH_SLOWDOWN: f64 = 0.5;
+
+/// A request that runs.
+pub struct Run {
+    id: String,
+    prompt: u64,
+    cached: u64,
+    wanted: u64,
+    made: u64,
+    generation: u64,
+    marked: bool,
+    engine: Arc<engine::Engine>,
+    slot: Option<batch::Slot>,
+}
+
+/// The engine crashed under a run.
+#[derive(Debug)]
+pub struct Crashed;
+
+impl Run {
+    /// Begins a run in a slot.
+    pub fn begin(
+        engine: Arc<engine::Engine>,
+        slot: batch::Slot,
+        id: String,
+        req: &chat::ChatRequest,
+    ) -> Self {
+        let text = prompt_text(req);
+        let words: Vec<&str> = text.split_whitespace().collect();
+        let prompt = words.len() as u64;
+        let cached = engine.cache.lock().unwrap().visit(&words) as u64;
+        engine.counts.begin(&id, prompt, cached);
+        engine.record_load();
+        Self {
+            id,
+            prompt,
+            cached,
+            wanted: req.answer_limit().unwrap_or(DEFAULT_ANSWER_TOKENS),
+            made: 0,
+            generation: engine.crashes.generation(),
+            marked: engine.crashes.is_marked(&text),
+            engine,
+            slot: Some(slot),
+        }
+    }
+
+    async fn next(&mut self) -> Result<Option<String>, Crashed> {
+        if self.made == self.wanted {
+            return Ok(None);
+        }
+        if self.made == 0 {
+            smol::Timer::after(self.prompt_time()).await;
+        }
+        smol::Timer::after(self.token_time()).await;
+        if self.marked {
+            self.marked = false;
+            self.engine.crash();
+        }
+        if self.generation != self.engine.crashes.generation() {
+            return Err(Crashed);
+        }
+        self.made += 1;
+        self.engine.counts.token(&self.id);
+        Ok(Some(format!("{}:{} ", self.id, self.made)))
+    }
+
+    fn prompt_time(&self) -> Duration {
+        let computed = self.prompt - self.cached;
+        self.engine.options.prompt_token_time * u32::try_from(computed).unwrap_or(u32::MAX)
+    }
+
+    fn token_time(&self) -> Duration {
+        let slowdown = 1.0 + FULL_BATCH_SLOWDOWN * self.engine.batch.fill();
+        self.engine.options.token_interval.mul_f64(slowdown)
+    }
+
+    fn usage(&self) -> chat::Usage {
+        chat::Usage {
+            prompt_tokens: self.prompt,
+            completion_tokens: self.made,
+        }
+    }
+
+    /// Makes the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// [`Crashed`] when the engine crashed meanwhile.
+    pub async fn whole_answer(mut self) -> Result<serde_json::Value, Crashed> {
+        let mut text = String::new();
+        while let Some(token) = self.next().await? {
+            text.push_str(&token);
+        }
+        Ok(json!({
+            "id": self.id,
+            "object": "chat.completion",
+            "choices": [{ "index": 0, "message": { "role": "assistant", "content": text } }],
+            "usage": self.usage(),
+        }))
+    }
+
+    /// Makes a body that streams the answer.
+    pub fn stream_answer(self) -> Body {
+        let events = stream::unfold(Some(self), |run| async move {
+            let mut run = run?;
+            let event = match run.next().await {
+                Ok(Some(token)) => {
+                    let choice = json!({ "index": 0, "delta": { "content": token } });
+                    let chunk = json!({ "id": run.id, "choices": [choice] });
+                    return Some((Ok(format!("data: {chunk}\n\n").into_bytes()), Some(run)));
+                }
+                Ok(None) => json!({ "id": run.id, "choices": [], "usage": run.usage() }),
+                Err(Crashed) => return Some((Err(std::io::Error::other("crashed")), None)),
+            };
+            let end = format!("data: {event}\n\ndata: [DONE]\n\n").into_bytes();
+            Some((Ok(end), None))
+        });
+        Body::new_streaming(Box::pin(events).into_async_read(), None)
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        let crashed = self.generation != self.engine.crashes.generation();
+        let finished = self.made == self.wanted;
+        self.engine.counts.with(|totals| {
+            totals.finished += u64::from(finished);
+            totals.cancelled += u64::from(!finished && !crashed);
+        });
+        drop(self.slot.take());
+        self.engine.record_load();
+    }
+}
+
+fn prompt_text(req: &chat::ChatRequest) -> String {
+    let texts = req.messages.iter().filter_map(|m| m.content.as_str());
+    texts.collect::<Vec<_>>().join(" ")
+}
--- a/src/standin/key_values.rs
+++ b/src/standin/key_values.rs
@@ -1,18 +1,64 @@
 //! Keys with revisions, conditional writes and leases.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use crate::protocol::kv;
 
+/// Bytes of values that the history may hold.
+const HISTORY_BYTES: usize = 64 << 20;
+
+/// Changes that the history holds when nothing else is said.
+pub const HISTORY_CHANGES: usize = 10_000;
+
+/// One change, with what it replaced.
+#[derive(Clone, Debug)]
+struct Change {
+    revision: u64,
+    event: kv::Event,
+    before: Option<kv::KeyValue>,
+}
+
+impl Change {
+    fn bytes(&self) -> usize {
+        let before = self.before.as_ref().map_or(0, |kv| kv.value.0.len());
+        before + self.event.kv.value.0.len()
+    }
+}
+
+/// The history before this revision is gone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Compacted(pub u64);
+
 /// The content of the key-value service.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct KeyValues {
     revision: u64,
     keys: BTreeMap<Vec<u8>, kv::KeyValue>,
-    events: Vec<(u64, kv::Event)>,
+    history: VecDeque<Change>,
+    history_limit: usize,
+    history_bytes: usize,
+    compacted: u64,
+}
+
+impl Default for KeyValues {
+    fn default() -> Self {
+        Self::new(HISTORY_CHANGES)
+    }
 }
 
 impl KeyValues {
+    /// Makes an empty content that remembers its last `history_limit` changes.
+    pub fn new(history_limit: usize) -> Self {
+        Self {
+            revision: 0,
+            keys: BTreeMap::new(),
+            history: VecDeque::new(),
+            history_limit,
+            history_bytes: 0,
+            compacted: 0,
+        }
+    }
+
     /// Revision of the last change.
     pub fn revision(&self) -> u64 {
         self.revision
@@ -44,6 +90,28 @@
         }
     }
 
+    /// Reads keys as they were `age` revisions ago, as far as the history goes back.
+    pub fn range_of_past(&self, req: &kv::RangeRequest, age: u64) -> kv::RangeResponse {
+        let revision = self.revision.saturating_sub(age).max(self.compacted);
+        let kvs = self.range(req).kvs;
+        let mut past: BTreeMap<_, _> = kvs.into_iter().map(|kv| (kv.key.0.clone(), kv)).collect();
+        let later = self.history.iter().rev();
+        let later = later.take_while(|change| change.revision > revision);
+        for change in later.filter(|change| covers(req, &change.event.kv.key.0)) {
+            let key = change.event.kv.key.0.clone();
+            match &change.before {
+                Some(before) => past.insert(key, before.clone()),
+                None => past.remove(&key),
+            };
+        }
+        kv::RangeResponse {
+            header: kv::Header {
+                revision: kv::Number(revision),
+            },
+            kvs: past.into_values().collect(),
+        }
+    }
+
     /// Carries out a transaction.
     pub fn txn(&mut self, req: &kv::TxnRequest) -> kv::TxnResponse {
         let holds = |compare: &kv::Compare| {
@@ -97,9 +165,26 @@
             mod_revision: revision,
             lease: req.lease,
         };
-        self.keys.insert(req.key.0.clone(), kv.clone());
+        let before = self.keys.insert(req.key.0.clone(), kv.clone());
         let kind = String::new();
-        self.events.push((self.revision, kv::Event { kind, kv }));
+        self.remember(kv::Event { kind, kv }, before);
+    }
+
+    fn remember(&mut self, event: kv::Event, before: Option<kv::KeyValue>) {
+        let change = Change {
+            revision: self.revision,
+            event,
+            before,
+        };
+        self.history_bytes += change.bytes();
+        self.history.push_back(change);
+        while self.history.len() > self.history_limit || self.history_bytes > HISTORY_BYTES {
+            let Some(oldest) = self.history.pop_front() else {
+                return;
+            };
+            self.history_bytes -= oldest.bytes();
+            self.compacted = oldest.revision;
+        }
     }
 
     fn delete(&mut self, req: &kv::DeleteRequest) {
@@ -114,10 +199,11 @@
 
     fn remove(&mut self, key: &[u8]) {
         if let Some(mut kv) = self.keys.remove(key) {
+            let before = kv.clone();
             kv.value = kv::Bytes::default();
             kv.mod_revision = kv::Number(self.revision);
             let kind = "DELETE".to_owned();
-            self.events.push((self.revision, kv::Event { kind, kv }));
+            self.remember(kv::Event { kind, kv }, Some(before));
         }
     }
 
@@ -139,14 +225,29 @@
     }
 
     /// Changes of a range from a revision on, oldest first.
-    pub fn since(&self, watch: &kv::WatchCreate) -> Vec<(u64, kv::Event)> {
-        let inside = |key: &[u8]| match &watch.range_end {
-            None => key == watch.key.0,
-            Some(end) => key >= &watch.key.0[..] && key < &end.0[..],
-        };
-        let wanted = |entry: &&(u64, kv::Event)| {
-            entry.0 >= watch.start_revision.0 && inside(&entry.1.kv.key.0)
+    ///
+    /// # Errors
+    ///
+    /// [`Compacted`] when the history does not go back that far.
+    pub fn since(&self, watch: &kv::WatchCreate) -> Result<Vec<(u64, kv::Event)>, Compacted> {
+        let start = watch.start_revision.0;
+        if start <= self.compacted {
+            return Err(Compacted(self.compacted + 1));
+        }
+        let range = kv::RangeRequest {
+            key: watch.key.clone(),
+            range_end: watch.range_end.clone(),
         };
-        self.events.iter().filter(wanted).cloned().collect()
+        let first = self.history.partition_point(|c| c.revision < start);
+        let changes = self.history.range(first..);
+        let wanted = changes.filter(|c| covers(&range, &c.event.kv.key.0));
+        Ok(wanted.map(|c| (c.revision, c.event.clone())).collect())
+    }
+}
+
+fn covers(range: &kv::RangeRequest, key: &[u8]) -> bool {
+    match &range.range_end {
+        None => key == range.key.0,
+        Some(end) => key >= &range.key.0[..] && key < &end.0[..],
     }
 }
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -7,19 +7,24 @@
     time::{Duration, Instant},
 };
 
-use futures::{TryStreamExt, stream};
-use serde::{Serialize, de::DeserializeOwned};
-use trillium::{Body, Conn, KnownHeaderName, Status};
+use futures::{StreamExt, TryStreamExt, stream};
+use serde::Serialize;
+use serde_json::json;
+use trillium::{Body, Conn, Status};
 
 use crate::{
     error,
     protocol::{kv, vm_list},
-    standin::key_values,
+    standin::{key_values, reply, visible_list},
     transport::http,
 };
 
+/// Time between two looks for changes that a watch reports.
 const WATCH_POLL: Duration = Duration::from_millis(20);
 
+/// Largest transaction in bytes; its values are base64, so they stay under a mebibyte.
+const TXN_LIMIT: usize = 3 << 19;
+
 /// Faults that can be switched on over HTTP.
 #[derive(Clone, Debug, Default, Serialize, serde::Deserialize)]
 pub struct Faults {
@@ -35,6 +40,12 @@
     /// Whether watches report nothing while they stay open.
     #[serde(default)]
     pub mute_watches: bool,
+    /// How many revisions old the answers of range requests are.
+    #[serde(default)]
+    pub stale_reads: u64,
+    /// Time until a change of the VM list can be seen, in milliseconds.
+    #[serde(default)]
+    pub list_lag_ms: u64,
 }
 
 /// State of the platform's stand-in.
@@ -42,7 +53,7 @@
 pub struct Platform {
     values: Mutex<key_values::KeyValues>,
     leases: Mutex<HashMap<u64, Lease>>,
-    vms: Mutex<Vec<vm_list::Vm>>,
+    vms: Mutex<visible_list::VisibleList<vm_list::Vm>>,
     faults: Mutex<Faults>,
     calls: Mutex<HashMap<String, u64>>,
 }
@@ -53,9 +64,15 @@
     ends: Instant,
 }
 
-/// Starts the stand-in on a bound socket.
-pub fn start(listener: TcpListener) -> Result<trillium_smol::Swansong, error::Error> {
-    let platform = Arc::new(Platform::default());
+/// Starts the stand-in on a bound socket, with a history of so many changes.
+pub fn start(
+    listener: TcpListener,
+    history: usize,
+) -> Result<trillium_smol::Swansong, error::Error> {
+    let platform = Arc::new(Platform {
+        values: Mutex::new(key_values::KeyValues::new(history)),
+        ..Platform::default()
+    });
     let handler = move |conn: Conn| {
         let platform = platform.clone();
         async move { serve(platform, conn).await }
@@ -67,45 +84,32 @@
     let path = conn.path().to_owned();
     let body = match conn.request_body().read_bytes().await {
         Ok(body) => body,
-        Err(err) => {
-            return conn
-                .with_status(Status::BadRequest)
-                .with_body(err.to_string());
-        }
+        Err(err) => return reply::bad_request(conn, err),
     };
-    *platform
-        .calls
-        .lock()
-        .unwrap()
-        .entry(path.clone())
-        .or_default() += 1;
+    platform.count(&path);
     match path.as_str() {
-        "/vms" if body.is_empty() => json(conn, &*platform.vms.lock().unwrap()),
-        "/vms" => set(conn, &platform.vms, &body),
-        "/faults" => set(conn, &platform.faults, &body),
-        "/calls" => json(conn, &*platform.calls.lock().unwrap()),
+        "/vms" if body.is_empty() => reply::json(conn, &platform.vms.lock().unwrap().visible()),
+        "/vms" => reply::answer(conn, &body, |list| platform.set_vms(list)),
+        "/faults" => reply::answer(conn, &body, |faults| {
+            *platform.faults.lock().unwrap() = faults;
+        }),
+        "/calls" => reply::json(conn, &*platform.calls.lock().unwrap()),
         _ => platform.store_call(conn, &path, &body).await,
     }
 }
 
-fn json(mut conn: Conn, answer: &impl Serialize) -> Conn {
-    conn.insert_response_header(KnownHeaderName::ContentType, "application/json");
-    conn.ok(serde_json::to_vec(answer).unwrap_or_default())
-}
+impl Platform {
+    /// Counts a call under its path or its kind.
+    fn count(&self, what: &str) {
+        let mut calls = self.calls.lock().unwrap();
+        *calls.entry(what.to_owned()).or_default() += 1;
+    }
 
-fn set<T: DeserializeOwned>(conn: Conn, slot: &Mutex<T>, body: &[u8]) -> Conn {
-    match serde_json::from_slice(body) {
-        Ok(value) => {
-            *slot.lock().unwrap() = value;
-            conn.ok("")
-        }
-        Err(err) => conn
-            .with_status(Status::BadRequest)
-            .with_body(err.to_string()),
+    fn set_vms(&self, list: Vec<vm_list::Vm>) {
+        let lag = Duration::from_millis(self.faults.lock().unwrap().list_lag_ms);
+        self.vms.lock().unwrap().set(list, lag);
     }
-}
 
-impl Platform {
     async fn store_call(self: Arc<Self>, conn: Conn, path: &str, body: &[u8]) -> Conn {
         let faults = self.faults.lock().unwrap().clone();
         smol::Timer::after(Duration::from_millis(faults.slow_ms)).await;
@@ -116,26 +120,52 @@
         }
         self.end_leases();
         match path {
-            "/v3/kv/range" => answer(conn, body, |req| self.values.lock().unwrap().range(&req)),
+            "/v3/kv/range" => self.range(conn, body, faults.stale_reads),
             "/v3/kv/txn" => self.txn(conn, body),
-            "/v3/lease/grant" => answer(conn, body, |req| self.grant(&req)),
-            "/v3/lease/keepalive" => answer(conn, body, |req| self.keep(&req)),
+            "/v3/lease/grant" => {
+                self.count("lease_grant");
+                reply::answer(conn, body, |req| self.grant(&req))
+            }
+            "/v3/lease/keepalive" => {
+                self.count("keepalive");
+                reply::answer(conn, body, |req| self.keep(&req))
+            }
             "/v3/watch" => self.watch(conn, body),
             _ => conn.with_status(Status::NotFound),
         }
     }
 
+    fn range(&self, conn: Conn, body: &[u8], age: u64) -> Conn {
+        self.count("range");
+        reply::answer(conn, body, |req| {
+            self.values.lock().unwrap().range_of_past(&req, age)
+        })
+    }
+
     fn txn(&self, conn: Conn, body: &[u8]) -> Conn {
-        let conn = answer(conn, body, |req| self.values.lock().unwrap().txn(&req));
-        let mut faults = self.faults.lock().unwrap();
-        let writes = body.windows(11).any(|part| part == b"request_put");
-        if writes && faults.lose_answers > 0 {
-            faults.lose_answers -= 1;
+        if body.len() > TXN_LIMIT {
+            return reply::bad_request(conn, "etcdserver: request is too large");
+        }
+        let req: kv::TxnRequest = match serde_json::from_slice(body) {
+            Ok(req) => req,
+            Err(err) => return reply::bad_request(conn, err),
+        };
+        let writes = writes(&req);
+        self.count(if writes { "txn_write" } else { "txn_read" });
+        let answer = self.values.lock().unwrap().txn(&req);
+        if writes && self.loses_answer() {
             return conn
                 .with_status(Status::GatewayTimeout)
                 .with_body("answer lost");
         }
-        conn
+        reply::json(conn, &answer)
+    }
+
+    fn loses_answer(&self) -> bool {
+        let mut faults = self.faults.lock().unwrap();
+        let loses = faults.lose_answers > 0;
+        faults.lose_answers = faults.lose_answers.saturating_sub(1);
+        loses
     }
 
     fn end_leases(&self) {
@@ -181,31 +211,38 @@
     }
 
     fn watch(self: Arc<Self>, conn: Conn, body: &[u8]) -> Conn {
+        self.count("watch");
         let req: kv::WatchRequest = match serde_json::from_slice(body) {
             Ok(req) => req,
-            Err(err) => {
-                return conn
-                    .with_status(Status::BadRequest)
-                    .with_body(err.to_string());
-            }
+            Err(err) => return reply::bad_request(conn, err),
         };
         let mut watch = req.create_request;
+        let revision = self.values.lock().unwrap().revision();
         if watch.start_revision.0 == 0 {
-            watch.start_revision.0 = self.values.lock().unwrap().revision() + 1;
+            watch.start_revision.0 = revision + 1;
         }
-        let lines = stream::unfold((self, watch), |(platform, mut watch)| async move {
-            let line = platform.next_line(&mut watch).await;
-            Some((line, (platform, watch)))
+        let header = kv::Header {
+            revision: kv::Number(revision),
+        };
+        let created = line(&json!({ "result": { "header": header, "created": true } }));
+        let changes = stream::unfold(Some((self, watch)), |open| async move {
+            let (platform, mut watch) = open?;
+            match platform.next_line(&mut watch).await {
+                Ok(line) => Some((Ok(line), Some((platform, watch)))),
+                Err(Ended::Down) => Some((Err(std::io::Error::other("down")), None)),
+                Err(Ended::Canceled(line)) => Some((Ok(line), None)),
+            }
         });
+        let lines = stream::iter([Ok(created)]).chain(changes);
         conn.ok(Body::new_streaming(Box::pin(lines).into_async_read(), None))
     }
 
-    async fn next_line(&self, watch: &mut kv::WatchCreate) -> std::io::Result<Vec<u8>> {
+    async fn next_line(&self, watch: &mut kv::WatchCreate) -> Result<Vec<u8>, Ended> {
         loop {
             smol::Timer::after(WATCH_POLL).await;
             let faults = self.faults.lock().unwrap().clone();
             if faults.down {
-                return Err(std::io::Error::other("down"));
+                return Err(Ended::Down);
             }
             if faults.mute_watches {
                 continue;
@@ -213,31 +250,40 @@
             self.end_leases();
             let values = self.values.lock().unwrap();
             let changes = values.since(watch);
+            let changes = changes.map_err(|compacted| Ended::Canceled(canceled(compacted)))?;
             let Some((last, _)) = changes.last() else {
+                watch.start_revision.0 = watch.start_revision.0.max(values.revision() + 1);
                 continue;
             };
             watch.start_revision.0 = last + 1;
             let revision = kv::Number(*last);
-            let result = kv::WatchResult {
-                header: kv::Header { revision },
-                events: changes.into_iter().map(|(_, event)| event).collect(),
-            };
-            let mut line = serde_json::to_vec(&kv::WatchLine { result })?;
-            line.push(b'\n');
-            return Ok(line);
+            let header = kv::Header { revision };
+            let events: Vec<_> = changes.into_iter().map(|(_, event)| event).collect();
+            return Ok(line(
+                &json!({ "result": { "header": header, "events": events } }),
+            ));
         }
     }
 }
 
-fn answer<Q: DeserializeOwned, A: Serialize>(
-    conn: Conn,
-    body: &[u8],
-    call: impl FnOnce(Q) -> A,
-) -> Conn {
-    match serde_json::from_slice(body) {
-        Ok(req) => json(conn, &call(req)),
-        Err(err) => conn
-            .with_status(Status::BadRequest)
-            .with_body(err.to_string()),
-    }
+/// Why a watch ended.
+enum Ended {
+    Down,
+    Canceled(Vec<u8>),
+}
+
+fn canceled(compacted: key_values::Compacted) -> Vec<u8> {
+    let revision = kv::Number(compacted.0);
+    line(&json!({ "result": { "canceled": true, "compact_revision": revision } }))
+}
+
+fn line(value: &impl Serialize) -> Vec<u8> {
+    let mut line = serde_json::to_vec(value).unwrap_or_default();
+    line.push(b'\n');
+    line
+}
+
+fn writes(req: &kv::TxnRequest) -> bool {
+    let mut operations = req.success.iter().chain(&req.failure);
+    operations.any(|op| !matches!(op, kv::Operation::RequestRange(_)))
 }
--- /dev/null
+++ b/src/standin/prefix_cache.rs
@@ -0,0 +1,71 @@
+//! A bounded cache of prompt prefixes, least recently used first out.
+
+use std::collections::{BTreeMap, HashMap};
+
+use xxhash_rust::xxh3;
+
+/// Words of a prompt that one cached block covers.
+pub const BLOCK_WORDS: usize = 16;
+
+/// Prefixes that are still in memory.
+#[derive(Debug, Default)]
+pub struct PrefixCache {
+    capacity: usize,
+    clock: u64,
+    used: HashMap<u64, u64>,
+    by_use: BTreeMap<u64, u64>,
+}
+
+impl PrefixCache {
+    /// Makes a cache of `capacity` blocks.
+    pub fn new(capacity: usize) -> Self {
+        Self {
+            capacity,
+            ..Self::default()
+        }
+    }
+
+    /// Looks a prompt up and keeps it; returns how many of its first words were cached.
+    ///
+    /// ```
+    /// use fulmarproxy::standin::prefix_cache;
+    /// let mut cache = prefix_cache::PrefixCache::new(8);
+    /// let words = vec!["again"; prefix_cache::BLOCK_WORDS + 1];
+    /// assert_eq!(cache.visit(&words), 0);
+    /// assert_eq!(cache.visit(&words), prefix_cache::BLOCK_WORDS);
+    /// ```
+    pub fn visit(&mut self, words: &[&str]) -> usize {
+        let mut hash = 0;
+        let mut cached = 0;
+        let mut missed = false;
+        for block in words.chunks_exact(BLOCK_WORDS) {
+            hash = chain(hash, block);
+            missed |= !self.used.contains_key(&hash);
+            if !missed {
+                cached += BLOCK_WORDS;
+            }
+            self.keep(hash);
+        }
+        cached
+    }
+
+    fn keep(&mut self, hash: u64) {
+        self.clock += 1;
+        if let Some(last) = self.used.insert(hash, self.clock) {
+            self.by_use.remove(&last);
+        }
+        self.by_use.insert(self.clock, hash);
+        while self.used.len() > self.capacity {
+            let Some((_, oldest)) = self.by_use.pop_first() else {
+                return;
+            };
+            self.used.remove(&oldest);
+        }
+    }
+}
+
+fn chain(before: u64, block: &[&str]) -> u64 {
+    block.iter().fold(before, |hash, word| {
+        xxh3::xxh3_64_with_seed(word.as_bytes(), hash)
+    })
+}
--- /dev/null
+++ b/src/standin/reply.rs
@@ -0,0 +1,47 @@
+//! Replies that the stand-ins share.
+
+use futures::{TryStreamExt, stream};
+use serde::{Serialize, de::DeserializeOwned};
+use trillium::{Body, Conn, KnownHeaderName, Status};
+
+/// Replies with JSON.
+pub fn json(conn: Conn, answer: &impl Serialize) -> Conn {
+    json_with(conn, Status::Ok, answer)
+}
+
+/// Replies with JSON and a status.
+pub fn json_with(mut conn: Conn, status: Status, answer: &impl Serialize) -> Conn {
+    conn.insert_response_header(KnownHeaderName::ContentType, "application/json");
+    let body = serde_json::to_vec(answer).unwrap_or_default();
+    conn.with_status(status).with_body(body).halt()
+}
+
+/// Refuses a request as malformed.
+pub fn bad_request(conn: Conn, err: impl ToString) -> Conn {
+    conn.with_status(Status::BadRequest)
+        .with_body(err.to_string())
+        .halt()
+}
+
+/// Reads JSON, calls `call` and replies with what it returns.
+pub fn answer<Q: DeserializeOwned, A: Serialize>(
+    conn: Conn,
+    body: &[u8],
+    call: impl FnOnce(Q) -> A,
+) -> Conn {
+    match serde_json::from_slice(body) {
+        Ok(req) => json(conn, &call(req)),
+        Err(err) => bad_request(conn, err),
+    }
+}
+
+/// Breaks the connection where an answer is expected.
+pub fn broken(conn: Conn) -> Conn {
+    conn.ok(broken_body())
+}
+
+/// A body that breaks before its first byte.
+pub fn broken_body() -> Body {
+    let parts = stream::once(async { Err::<Vec<u8>, _>(std::io::Error::other("broken off")) });
+    Body::new_streaming(Box::pin(parts).into_async_read(), Some(1))
+}
--- /dev/null
+++ b/src/standin/visible_list.rs
@@ -0,0 +1,45 @@
+//! A list that shows each change some time after it was made.
+
+use std::time::{Duration, Instant};
+
+/// Versions of a list, oldest first.
+#[derive(Debug)]
+pub struct VisibleList<T> {
+    versions: Vec<(Instant, Vec<T>)>,
+}
+
+impl<T> Default for VisibleList<T> {
+    fn default() -> Self {
+        Self {
+            versions: Vec::new(),
+        }
+    }
+}
+
+impl<T> VisibleList<T> {
+    /// Sets the list; readers see it after `lag`.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let mut list = fulmarproxy::standin::visible_list::VisibleList::default();
+    /// list.set(vec![1], Duration::ZERO);
+    /// list.set(vec![2], Duration::from_secs(3600));
+    /// assert_eq!(list.visible(), [1]);
+    /// ```
+    pub fn set(&mut self, list: Vec<T>, lag: Duration) {
+        self.versions.push((Instant::now() + lag, list));
+    }
+
+    /// The list that readers see now.
+    pub fn visible(&mut self) -> &[T] {
+        let now = Instant::now();
+        let newest = self.versions.iter().rposition(|version| version.0 <= now);
+        match newest {
+            Some(newest) => {
+                self.versions.drain(..newest);
+                &self.versions[0].1
+            }
+            None => &[],
+        }
+    }
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Starts a small fleet of real processes on free loopback ports.
 #![allow(dead_code)]
 
+pub mod proxy;
+
 use std::{
     io::{BufRead, BufReader},
     net::TcpListener,
