Add fulmar-load, an open-loop load tool

Cause: promises on answers, bills and latency need one tool that holds what callers got against what engines ran and budgets paid. Change: seeded exponential arrivals, whole-answer checks, repeats under one idempotency key, refusals by code, overspend, false refusals, and alternation between the fleet and an engine in one run, reported as a table or JSON.

--- /dev/null
+++ b/src/load/accounts.rs
@@ -0,0 +1,141 @@
+//! What engines ran, and what budgets prepaid and were billed.
+
+use std::collections::{BTreeMap, HashMap};
+
+use serde::Deserialize;
+use trillium_client::Client;
+
+use crate::{
+    coordination::publish,
+    error,
+    protocol::kv,
+    state::{config, holder_record, name, object_set},
+    transport::{http, store},
+};
+
+/// What the engines ran.
+#[derive(Clone, Debug, Default)]
+pub struct Engines {
+    /// Tokens of all runs.
+    pub tokens: u64,
+    /// Tokens by request id.
+    pub by_id: HashMap<String, u64>,
+    /// Runs by request id.
+    pub runs: HashMap<String, u64>,
+    /// Engines that did not answer.
+    pub silent: u64,
+}
+
+/// One budget.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Budget {
+    /// Tokens prepaid.
+    pub prepaid: u64,
+    /// Tokens billed.
+    pub billed: u64,
+}
+
+/// Budgets and the caller keys that draw on them.
+#[derive(Clone, Debug, Default)]
+pub struct Budgets {
+    /// Budgets by name.
+    pub by_name: BTreeMap<name::Name, Budget>,
+    /// Budgets by the digest of a caller key.
+    by_key: HashMap<String, name::Name>,
+}
+
+#[derive(Deserialize)]
+struct Counts {
+    tokens: u64,
+    #[serde(default)]
+    tokens_by_id: HashMap<String, u64>,
+    #[serde(default)]
+    runs: HashMap<String, u64>,
+}
+
+/// Reads the counts of engines.
+pub async fn read_engines(client: &Client, urls: &[String]) -> Engines {
+    let mut engines = Engines::default();
+    for url in urls {
+        let url = format!("{url}/counts");
+        match http::get::<Counts>(client, "counts", &url).await {
+            Ok(counts) => engines.add(counts),
+            Err(err) => {
+                eprintln!("fulmar-load: {err}.");
+                engines.silent += 1;
+            }
+        }
+    }
+    engines
+}
+
+impl Engines {
+    fn add(&mut self, counts: Counts) {
+        self.tokens += counts.tokens;
+        for (id, tokens) in counts.tokens_by_id {
+            *self.by_id.entry(id).or_default() += tokens;
+        }
+        for (id, runs) in counts.runs {
+            *self.runs.entry(id).or_default() += runs;
+        }
+    }
+}
+
+/// Reads the published budgets and their bills.
+///
+/// # Errors
+///
+/// [`error::Error::Store`] when the store cannot be reached.
+pub async fn read_budgets(url: &str) -> Result<Budgets, error::Error> {
+    let store = store::Store::new(url);
+    let mut budgets = Budgets::default();
+    if let Some(head) = store.get(store::HEAD_KEY).await? {
+        let head: config::Head = kv::decode(&head)?;
+        let key = |digest: &String| format!("{}{digest}", store::CHUNK_PREFIX);
+        let keys: Vec<_> = head.chunks.values().map(key).collect();
+        for chunk in store.get_many(&keys).await?.values() {
+            budgets.publish(&kv::decode(chunk)?);
+        }
+    }
+    let (records, _) = store.list(store::HOLDER_PREFIX).await?;
+    for record in &records {
+        budgets.bill(&kv::decode(record)?);
+    }
+    Ok(budgets)
+}
+
+impl Budgets {
+    /// Takes over published objects.
+    pub fn publish(&mut self, set: &object_set::ObjectSet) {
+        for (name, budget) in &set.budgets {
+            self.by_name.entry(name.clone()).or_default().prepaid = budget.prepaid_tokens;
+        }
+        for workspace in set.workspaces.values() {
+            for key in &workspace.keys {
+                let key = key.to_ascii_lowercase();
+                self.by_key.insert(key, workspace.budget.clone());
+            }
+        }
+    }
+
+    /// Adds what one holder has spent.
+    pub fn bill(&mut self, record: &holder_record::HolderRecord) {
+        for (name, figures) in &record.budgets {
+            self.by_name.entry(name.clone()).or_default().billed += figures.spent;
+        }
+    }
+
+    /// Budget that a caller key draws on.
+    pub fn of_key(&self, key: &str) -> Option<name::Name> {
+        self.by_key.get(&publish::digest(key.as_bytes())).cloned()
+    }
+
+    /// Tokens billed to all budgets.
+    ///
+    /// ```
+    /// assert_eq!(fulmarproxy::load::accounts::Budgets::default().billed(), 0);
+    /// ```
+    pub fn billed(&self) -> u64 {
+        self.by_name.values().map(|budget| budget.billed).sum()
+    }
+}
--- /dev/null
+++ b/src/load/answer.rs
@@ -0,0 +1,172 @@
+//! Reads an answer and checks that it is whole and belongs to one request.
+
+use derive_more::Display;
+use serde::Deserialize;
+
+use crate::protocol::chat;
+
+/// Why an answer is not whole.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Fault {
+    /// The connection broke, or the stream ended without its proper end.
+    #[display("no end")]
+    NoEnd,
+    /// The stream carries an error event.
+    #[display("error event")]
+    ErrorEvent,
+    /// A part does not parse.
+    #[display("malformed")]
+    Malformed,
+    /// The answer carries another request's tokens.
+    #[display("mixed")]
+    Mixed,
+    /// Tokens are missing, repeated or out of order.
+    #[display("gap")]
+    Gap,
+}
+
+/// A whole answer.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Whole {
+    /// Request id that the tokens carry.
+    pub id: String,
+    /// Tokens of the answer.
+    pub tokens: u64,
+    /// Tokens that the engine reports.
+    pub usage: chat::Usage,
+}
+
+/// An answer that is being read.
+#[derive(Debug, Default)]
+pub struct Reader {
+    stream: bool,
+    buf: Vec<u8>,
+    whole: Whole,
+    has_usage: bool,
+    ended: bool,
+    fault: Option<Fault>,
+}
+
+#[derive(Deserialize)]
+struct Event {
+    #[serde(default)]
+    choices: Vec<Choice>,
+    #[serde(default)]
+    usage: Option<chat::Usage>,
+}
+
+#[derive(Deserialize)]
+struct Choice {
+    #[serde(default, alias = "message")]
+    delta: Content,
+}
+
+#[derive(Default, Deserialize)]
+struct Content {
+    #[serde(default)]
+    content: String,
+}
+
+impl Reader {
+    /// Begins an answer, streamed or not.
+    pub fn new(stream: bool) -> Self {
+        Self {
+            stream,
+            ..Self::default()
+        }
+    }
+
+    /// Takes the next bytes; returns how many tokens they completed.
+    pub fn push(&mut self, bytes: &[u8]) -> u64 {
+        let before = self.whole.tokens;
+        self.buf.extend_from_slice(bytes);
+        if self.stream {
+            self.read_lines();
+        }
+        self.whole.tokens - before
+    }
+
+    fn read_lines(&mut self) {
+        let buf = std::mem::take(&mut self.buf);
+        let mut rest = &buf[..];
+        while let Some(end) = rest.iter().position(|byte| *byte == b'\n') {
+            self.read_line(&rest[..end]);
+            rest = &rest[end + 1..];
+        }
+        self.buf = rest.to_vec();
+    }
+
+    fn read_line(&mut self, line: &[u8]) {
+        if line == b"event: error" {
+            self.fail(Fault::ErrorEvent);
+        }
+        match line.strip_prefix(b"data: ") {
+            Some(b"[DONE]") => self.ended = true,
+            Some(data) if self.fault.is_none() => self.read_event(data),
+            _ => (),
+        }
+    }
+
+    fn read_event(&mut self, data: &[u8]) {
+        let Ok(event) = serde_json::from_slice::<Event>(data) else {
+            return self.fail(Fault::Malformed);
+        };
+        for choice in &event.choices {
+            self.read_tokens(&choice.delta.content);
+        }
+        if let Some(usage) = event.usage {
+            self.whole.usage = usage;
+            self.has_usage = true;
+        }
+    }
+
+    fn read_tokens(&mut self, text: &str) {
+        for token in text.split_whitespace() {
+            let Some((id, number)) = token.rsplit_once(':') else {
+                return self.fail(Fault::Malformed);
+            };
+            if self.whole.tokens == 0 {
+                id.clone_into(&mut self.whole.id);
+            }
+            if self.whole.id != id {
+                return self.fail(Fault::Mixed);
+            }
+            self.whole.tokens += 1;
+            if number.parse() != Ok(self.whole.tokens) {
+                return self.fail(Fault::Gap);
+            }
+        }
+    }
+
+    fn fail(&mut self, fault: Fault) {
+        self.fault.get_or_insert(fault);
+    }
+
+    /// Ends the answer; `broken` tells that its connection broke.
+    ///
+    /// # Errors
+    ///
+    /// The first [`Fault`] found.
+    ///
+    /// ```
+    /// use fulmarproxy::load::answer;
+    /// let mut reader = answer::Reader::new(false);
+    /// reader.push(br#"{"choices":[{"message":{"content":"r:1 r:2 "}}],
+    ///     "usage":{"prompt_tokens":5,"completion_tokens":2}}"#);
+    /// assert_eq!(reader.finish(false).unwrap().id, "r");
+    /// ```
+    pub fn finish(mut self, broken: bool) -> Result<Whole, Fault> {
+        if broken {
+            self.fail(Fault::NoEnd);
+        } else if !self.stream {
+            let body = std::mem::take(&mut self.buf);
+            self.read_event(&body);
+        } else if !self.ended {
+            self.fail(Fault::NoEnd);
+        }
+        if self.has_usage && self.whole.usage.completion_tokens != self.whole.tokens {
+            self.fail(Fault::Gap);
+        }
+        self.fault.map_or(Ok(self.whole), Err)
+    }
+}
--- /dev/null
+++ b/src/load/exchange.rs
@@ -0,0 +1,239 @@
+//! One request with its repeats, as a caller sends it.
+
+use std::time::{Duration, Instant};
+
+use futures::AsyncReadExt;
+use serde::Deserialize;
+use trillium_client::{Client, Conn};
+
+use crate::{
+    load::{answer, options, plan},
+    transport::timers,
+};
+
+const READ_BYTES: usize = 4 * 1024;
+const CHAT_PATH: &str = "/v1/chat/completions";
+const FIRST_BACKOFF: Duration = Duration::from_millis(50);
+const LONGEST_BACKOFF: Duration = Duration::from_secs(2);
+
+/// A refusal as the fleet words it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
+pub struct Refusal {
+    /// Numbered result code; zero when the answer names none.
+    #[serde(default)]
+    pub code: u16,
+    /// Name of the code.
+    #[serde(default)]
+    pub name: String,
+    /// `not run` or `may have run`.
+    #[serde(default)]
+    pub run: String,
+}
+
+/// How one attempt ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum End {
+    /// With the whole answer.
+    Whole(answer::Whole),
+    /// With an answer that is not whole.
+    Broken(answer::Fault),
+    /// With a refusal.
+    Refused(Refusal),
+    /// Without any answer, by a timeout or a broken connection.
+    Failed,
+}
+
+/// One attempt.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    /// How it ended.
+    pub end: End,
+    /// Status; zero when no answer came.
+    pub status: u16,
+    /// Request id that the answer names.
+    pub id: Option<String>,
+    retry_after: Option<Duration>,
+}
+
+/// A request after its last attempt.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    /// What was planned.
+    pub planned: plan::Planned,
+    /// Attempts; the last one counts.
+    pub attempts: Vec<Attempt>,
+    /// Time from the planned start to the end of the answer.
+    pub latency: Duration,
+    /// Time from the planned start to the first token.
+    pub first_token: Option<Duration>,
+    /// Times from one token to the next.
+    pub gaps: Vec<Duration>,
+    /// How much later than planned the request was sent.
+    pub lateness: Duration,
+}
+
+/// What the exchanges share.
+pub struct Sender {
+    /// Options of the load.
+    pub options: options::Options,
+    /// Client.
+    pub client: Client,
+    /// Start of the load.
+    pub start: Instant,
+}
+
+impl Attempt {
+    fn failed() -> Self {
+        Self {
+            end: End::Failed,
+            status: 0,
+            id: None,
+            retry_after: None,
+        }
+    }
+
+    /// Whether a caller repeats the request after this attempt.
+    fn may_repeat(&self) -> bool {
+        match self.end {
+            End::Whole(_) => false,
+            End::Broken(_) | End::Failed => true,
+            End::Refused(_) => self.status >= 500 || self.status == 429,
+        }
+    }
+}
+
+impl Outcome {
+    /// The last attempt.
+    pub fn last(&self) -> &Attempt {
+        self.attempts.last().expect("a request has an attempt")
+    }
+}
+
+impl Sender {
+    /// Sends a request until it is answered or given up.
+    pub async fn run(&self, planned: plan::Planned) -> Outcome {
+        let due = self.start + planned.at;
+        let mut outcome = Outcome {
+            lateness: due.elapsed(),
+            latency: Duration::ZERO,
+            first_token: None,
+            gaps: Vec::new(),
+            attempts: Vec::new(),
+            planned,
+        };
+        let mut rng = fastrand::Rng::with_seed(self.options.seed ^ outcome.planned.number);
+        for number in 0..=self.options.retries {
+            outcome.first_token = None;
+            outcome.gaps.clear();
+            let attempt = self.attempt(&mut outcome, number);
+            let attempt = timers::within(self.options.timeout, attempt).await;
+            let attempt = attempt.unwrap_or_else(Attempt::failed);
+            let pause = attempt.retry_after;
+            let repeat = attempt.may_repeat() && number < self.options.retries;
+            outcome.attempts.push(attempt);
+            if !repeat {
+                break;
+            }
+            smol::Timer::after(pause.unwrap_or_else(|| backoff(&mut rng, number))).await;
+        }
+        outcome.latency = due.elapsed();
+        outcome
+    }
+
+    async fn attempt(&self, outcome: &mut Outcome, number: u32) -> Attempt {
+        let mut conn = self.request(&outcome.planned, number);
+        if (&mut conn).await.is_err() {
+            return Attempt::failed();
+        }
+        let status = conn.status().map_or(0, |status| status as u16);
+        let headers = conn.response_headers();
+        let id = headers.get_str("x-request-id").map(str::to_owned);
+        let seconds = headers.get_str("retry-after").and_then(|s| s.parse().ok());
+        let end = match status {
+            200 => self.read(&mut conn, outcome).await,
+            _ => refused(&mut conn).await,
+        };
+        Attempt {
+            end,
+            status,
+            id,
+            retry_after: seconds.map(Duration::from_secs),
+        }
+    }
+
+    fn request(&self, planned: &plan::Planned, number: u32) -> Conn {
+        let options = &self.options;
+        let targets = &options.targets;
+        let turn = planned.number as usize + number as usize;
+        let target = match (&options.compare, planned.side) {
+            (Some(engine), plan::Side::Engine) => engine,
+            // Every second request goes elsewhere, so that half the turns are skipped.
+            (Some(_), plan::Side::Fleet) => &targets[(turn / 2) % targets.len()],
+            (None, _) => &targets[turn % targets.len()],
+        };
+        let url = format!("{target}{CHAT_PATH}");
+        let conn = self.client.post(url).with_body(planned.body(options));
+        let conn = conn.with_request_header("content-type", "application/json");
+        let name = format!("load-{}-{}", options.seed, planned.number);
+        match planned.side {
+            plan::Side::Engine => conn.with_request_header("x-request-id", name),
+            plan::Side::Fleet => {
+                let key = format!("Bearer {}", options.keys[planned.key].name);
+                let conn = conn.with_request_header("authorization", key);
+                match options.retries {
+                    0 => conn,
+                    _ => conn.with_request_header("idempotency-key", name),
+                }
+            }
+        }
+    }
+
+    async fn read(&self, conn: &mut Conn, outcome: &mut Outcome) -> End {
+        let due = self.start + outcome.planned.at;
+        let mut reader = answer::Reader::new(self.options.stream);
+        let mut body = conn.response_body();
+        let mut buf = vec![0; READ_BYTES];
+        let mut last = None;
+        let broken = loop {
+            match body.read(&mut buf).await {
+                Ok(0) => break false,
+                Err(_) => break true,
+                Ok(count) => {
+                    let tokens = reader.push(&buf[..count]);
+                    note_tokens(outcome, due, &mut last, tokens);
+                }
+            }
+        };
+        match reader.finish(broken) {
+            Ok(whole) => End::Whole(whole),
+            Err(fault) => End::Broken(fault),
+        }
+    }
+}
+
+fn note_tokens(outcome: &mut Outcome, due: Instant, last: &mut Option<Instant>, tokens: u64) {
+    for _ in 0..tokens {
+        let now = Instant::now();
+        match last.replace(now) {
+            Some(before) => outcome.gaps.push(now - before),
+            None => outcome.first_token = Some(now - due),
+        }
+    }
+}
+
+async fn refused(conn: &mut Conn) -> End {
+    #[derive(Deserialize)]
+    struct Body {
+        error: Refusal,
+    }
+    let Ok(bytes) = conn.response_body().read_bytes().await else {
+        return End::Failed;
+    };
+    let body = serde_json::from_slice::<Body>(&bytes);
+    End::Refused(body.map_or_else(|_| Refusal::default(), |body| body.error))
+}
+
+fn backoff(rng: &mut fastrand::Rng, number: u32) -> Duration {
+    let longest = FIRST_BACKOFF * 2_u32.saturating_pow(number);
+    longest.min(LONGEST_BACKOFF).mul_f64(0.5 + rng.f64())
+}
--- /dev/null
+++ b/src/load/plan.rs
@@ -0,0 +1,112 @@
+//! The seeded plan of a load: when each request is sent, to whom, and what it asks.
+
+use std::time::Duration;
+
+use serde_json::json;
+
+use crate::load::options;
+
+/// Whom a request is sent to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Side {
+    /// A router of the fleet.
+    Fleet,
+    /// An engine, without a fleet before it.
+    Engine,
+}
+
+/// One planned request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Planned {
+    /// Number in the plan, from 0.
+    pub number: u64,
+    /// Time after the start at which it is sent.
+    pub at: Duration,
+    /// Whom it is sent to.
+    pub side: Side,
+    /// Index of the caller key.
+    pub key: usize,
+    /// Index of the model route.
+    pub model: usize,
+    /// Text of the prompt.
+    pub prompt: String,
+    /// Longest answer in tokens.
+    pub max_tokens: u64,
+}
+
+/// Makes the plan, in the order of time.
+///
+/// ```
+/// use fulmarproxy::load::{options, plan};
+/// let args = ["--targets", "http://127.0.0.1:1"].map(str::to_owned);
+/// let options = options::parse(&args).unwrap().unwrap();
+/// let first: Vec<_> = plan::requests(&options).take(9).collect();
+/// assert!(plan::requests(&options).take(9).eq(first));
+/// ```
+pub fn requests(options: &options::Options) -> impl Iterator<Item = Planned> {
+    let mut rng = fastrand::Rng::with_seed(options.seed);
+    let mut at = Duration::ZERO;
+    let planned = (0..).map(move |number| {
+        at += gap(&mut rng, options.rate);
+        let words = rng.u64(options.prompt_words.clone());
+        Planned {
+            number,
+            at,
+            side: side(options, number),
+            key: pick(&mut rng, &options.keys),
+            model: pick(&mut rng, &options.models),
+            prompt: prompt(&mut rng, options.prefixes, number, words),
+            max_tokens: rng.u64(options.max_tokens.clone()),
+        }
+    });
+    planned.take_while(|planned| planned.at < options.length)
+}
+
+/// Time to the next arrival of a Poisson process.
+fn gap(rng: &mut fastrand::Rng, rate: f64) -> Duration {
+    Duration::from_secs_f64(-(1.0 - rng.f64()).ln() / rate)
+}
+
+fn side(options: &options::Options, number: u64) -> Side {
+    let compared = options.compare.is_some() && number % 2 == 1;
+    if options.direct || compared {
+        return Side::Engine;
+    }
+    Side::Fleet
+}
+
+fn pick(rng: &mut fastrand::Rng, items: &[options::Weighted]) -> usize {
+    let sum: u64 = items.iter().map(|item| item.weight).sum();
+    let mut left = rng.u64(..sum);
+    for (index, item) in items.iter().enumerate() {
+        if left < item.weight {
+            return index;
+        }
+        left -= item.weight;
+    }
+    items.len() - 1
+}
+
+/// Three quarters of a prompt come from a shared prefix, if there is any.
+fn prompt(rng: &mut fastrand::Rng, prefixes: u64, number: u64, words: u64) -> String {
+    let shared = if prefixes == 0 { 0 } else { words * 3 / 4 };
+    let prefix = rng.u64(..prefixes.max(1));
+    let word = |index| match index < shared {
+        true => format!("p{prefix}-{index}"),
+        false => format!("q{number}-{index}"),
+    };
+    (0..words).map(word).collect::<Vec<_>>().join(" ")
+}
+
+impl Planned {
+    /// Body of the request.
+    pub fn body(&self, options: &options::Options) -> String {
+        json!({
+            "model": options.models[self.model].name,
+            "messages": [{ "role": "user", "content": self.prompt }],
+            "max_tokens": self.max_tokens,
+            "stream": options.stream,
+        })
+        .to_string()
+    }
+}
--- /dev/null
+++ b/src/load/runner.rs
@@ -0,0 +1,118 @@
+//! Sends a planned load and reads the accounts around it.
+
+use std::{
+    sync::{Arc, Mutex},
+    thread,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    error,
+    load::{accounts, exchange, options, plan, report, tally},
+    transport::http,
+};
+
+const ACCOUNT_LIMIT: Duration = Duration::from_secs(10);
+const SETTLE_POLL: Duration = Duration::from_millis(200);
+
+/// Runs a load to its end.
+///
+/// # Errors
+///
+/// [`error::Error::Store`] when the budgets cannot be read.
+pub fn run(options: &options::Options) -> Result<report::Report, error::Error> {
+    let (stop, stopped) = async_channel::bounded::<()>(1);
+    let executor = Arc::new(smol::Executor::new());
+    let threads: Vec<_> = (0..options.threads.max(1))
+        .map(|_| {
+            let (executor, stopped) = (executor.clone(), stopped.clone());
+            thread::spawn(move || {
+                let _ = smol::block_on(executor.run(stopped.recv()));
+            })
+        })
+        .collect();
+    let made = smol::block_on(measure(options, &executor));
+    drop(stop);
+    for thread in threads {
+        let _ = thread.join();
+    }
+    made
+}
+
+async fn measure(
+    options: &options::Options,
+    executor: &smol::Executor<'static>,
+) -> Result<report::Report, error::Error> {
+    let client = http::client(ACCOUNT_LIMIT);
+    let mut readings = report::Readings {
+        engines_before: accounts::read_engines(&client, &options.engines).await,
+        ..report::Readings::default()
+    };
+    if let Some(store) = &options.store {
+        readings.budgets_before = accounts::read_budgets(store).await?;
+    }
+    let tally = tally::Tally::new(options, readings.budgets_before.clone());
+    let tally = Arc::new(Mutex::new(tally));
+    let start = Instant::now();
+    send_all(options, executor, start, &tally).await;
+    let seconds = start.elapsed().as_secs_f64();
+    readings.engines = accounts::read_engines(&client, &options.engines).await;
+    if let Some(store) = &options.store {
+        readings.budgets = settled(options, store, &readings).await?;
+    }
+    let accounted = options.store.is_some() || !options.engines.is_empty();
+    let tally = tally.lock().unwrap();
+    Ok(report::make(
+        &tally,
+        accounted.then_some(&readings),
+        seconds,
+    ))
+}
+
+async fn send_all(
+    options: &options::Options,
+    executor: &smol::Executor<'static>,
+    start: Instant,
+    tally: &Arc<Mutex<tally::Tally>>,
+) {
+    let sender = Arc::new(exchange::Sender {
+        options: options.clone(),
+        client: http::streaming_client(),
+        start,
+    });
+    let (done, all_done) = async_channel::bounded::<()>(1);
+    for planned in plan::requests(options) {
+        smol::Timer::at(start + planned.at).await;
+        let (sender, tally, done) = (sender.clone(), tally.clone(), done.clone());
+        executor
+            .spawn(async move {
+                tally.lock().unwrap().begin(&planned);
+                let outcome = sender.run(planned).await;
+                tally.lock().unwrap().end(&outcome);
+                drop(done);
+            })
+            .detach();
+    }
+    drop(done);
+    let _ = all_done.recv().await;
+}
+
+/// Reads the budgets until the bills match what the engines ran, or the wait is over.
+async fn settled(
+    options: &options::Options,
+    store: &str,
+    readings: &report::Readings,
+) -> Result<accounts::Budgets, error::Error> {
+    let end = Instant::now() + options.settle;
+    let ran = (readings.engines.tokens).saturating_sub(readings.engines_before.tokens);
+    loop {
+        let budgets = accounts::read_budgets(store).await?;
+        let billed = budgets
+            .billed()
+            .saturating_sub(readings.budgets_before.billed());
+        if billed >= ran && ran > 0 || Instant::now() >= end {
+            return Ok(budgets);
+        }
+        smol::Timer::after(SETTLE_POLL).await;
+    }
+}
