Make the token logic pure steps and check them over random interleavings

Cause: grants, returns, draws and the closing of dead holders were thin or missing, and nothing showed that lost replies and crashes keep the sum of tokens. Change: accounts, demand, refills, draws and closing are pure modules; the agent's receipt log also keeps what runs and what it has promised not to run. A settlement no longer takes a lock over all budgets.

--- a/src/coordination.rs
+++ b/src/coordination.rs
@@ -1,9 +1,14 @@
 //! Decisions: they take messages and a time, and open no socket and read no clock.
 
+pub mod account;
 pub mod balance;
 pub mod check;
+pub mod closing;
 pub mod covered;
+pub mod demand;
+pub mod draw;
 pub mod escrow;
 pub mod publish;
 pub mod receipt_log;
+pub mod refill;
 pub mod roster;
--- a/src/coordination/escrow.rs
+++ b/src/coordination/escrow.rs
@@ -1,44 +1,19 @@
 //! A holder's tokens: what it was granted, has reserved and has spent, by budget.
 //!
-//! Lock order: `covered`, then `accounts`, then one account.
+//! Lock order: `gate`, `agents`, one agent's receipts, `accounts`, one account. Reservations and
+//! settlements share `gate` and `accounts`; only a snapshot excludes settlements, and only a
+//! budget that is new to the holder excludes the rest.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock},
 };
 
 use crate::{
-    coordination::covered,
-    state::{holder_record, ledger, member, name, receipt},
+    coordination::{account, covered},
+    state::{holder_record, member, name, receipt},
 };
 
-/// Tokens of one budget in the hands of this holder.
-#[derive(Clone, Debug, Default)]
-pub struct Account {
-    /// Share in the ledger, as last read or written.
-    pub share: ledger::Share,
-    /// Cumulative figures that go into the holder's record.
-    pub figures: holder_record::HolderBudget,
-    /// Tokens set aside for attempts in flight.
-    pub reserved: u64,
-}
-
-impl Account {
-    /// Tokens that this holder may spend in all, over its life.
-    pub fn held(&self) -> u64 {
-        let received: u64 = self.figures.received.values().sum();
-        let given: u64 = self.figures.given.values().sum();
-        (self.share.granted + received).saturating_sub(given)
-    }
-
-    /// Tokens neither spent nor reserved.
-    pub fn available(&self) -> u64 {
-        self.held()
-            .saturating_sub(self.figures.spent)
-            .saturating_sub(self.reserved)
-    }
-}
-
 /// Why a reservation failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Short {
@@ -48,13 +23,17 @@
     pub reserved: u64,
 }
 
-type Accounts = HashMap<name::Name, Arc<Mutex<Account>>>;
+type Accounts = HashMap<name::Name, Arc<Mutex<account::Account>>>;
+
+type Agents = BTreeMap<member::Incarnation, Arc<Mutex<covered::Covered>>>;
 
 /// All tokens in the hands of one holder.
 #[derive(Debug, Default)]
 pub struct Escrow {
-    covered: Mutex<BTreeMap<member::Incarnation, covered::Covered>>,
+    gate: RwLock<()>,
+    agents: RwLock<Agents>,
     accounts: RwLock<Accounts>,
+    resolved: Mutex<BTreeSet<member::Incarnation>>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -62,7 +41,7 @@
 }
 
 impl Escrow {
-    fn account(&self, budget: &str) -> Arc<Mutex<Account>> {
+    fn account(&self, budget: &str) -> Arc<Mutex<account::Account>> {
         let accounts = self.accounts.read().unwrap_or_else(PoisonError::into_inner);
         if let Some(account) = accounts.get(budget) {
             return account.clone();
@@ -82,7 +61,7 @@
     /// escrow.with("desk", |account| account.share.granted = 5);
     /// assert_eq!(escrow.with("desk", |account| account.available()), 5);
     /// ```
-    pub fn with<T>(&self, budget: &str, change: impl FnOnce(&mut Account) -> T) -> T {
+    pub fn with<T>(&self, budget: &str, change: impl FnOnce(&mut account::Account) -> T) -> T {
         let account = self.account(budget);
         change(&mut lock(&account))
     }
@@ -110,6 +89,7 @@
                 });
             }
             account.reserved += tokens;
+            account.asked += tokens;
             Ok(())
         })
     }
@@ -133,8 +113,8 @@
     ///
     /// The caller releases the attempt's reservation itself.
     pub fn settle(&self, agent: member::Incarnation, receipt: &receipt::Receipt) -> bool {
-        let mut covered = lock(&self.covered);
-        if !covered.entry(agent).or_default().insert(receipt.number) {
+        let _gate = self.gate.read().unwrap_or_else(PoisonError::into_inner);
+        if !lock(&self.agent(agent)).insert(receipt.number) {
             return false;
         }
         self.with(&receipt.budget, |account| {
@@ -143,6 +123,27 @@
         true
     }
 
+    fn agent(&self, agent: member::Incarnation) -> Arc<Mutex<covered::Covered>> {
+        let agents = self.agents.read().unwrap_or_else(PoisonError::into_inner);
+        if let Some(covered) = agents.get(&agent) {
+            return covered.clone();
+        }
+        drop(agents);
+        let mut agents = self.agents.write().unwrap_or_else(PoisonError::into_inner);
+        agents.entry(agent).or_default().clone()
+    }
+
+    /// Remembers that nothing is open at a replaced agent, and that nothing ever will be.
+    pub fn resolve(&self, agent: member::Incarnation) {
+        lock(&self.resolved).insert(agent);
+    }
+
+    /// Names of all budgets that this holder has dealt with, in order.
+    pub fn budgets(&self) -> BTreeSet<name::Name> {
+        let accounts = self.accounts.read().unwrap_or_else(PoisonError::into_inner);
+        accounts.keys().cloned().collect()
+    }
+
     /// Counts an attempt whose agent is gone for good as spent in full.
     pub fn write_off(&self, budget: &str, tokens: u64) {
         self.with(budget, |account| {
@@ -153,33 +154,36 @@
 
     /// Highest receipt number of an agent up to which every receipt was counted.
     pub fn covered_through(&self, agent: member::Incarnation) -> u64 {
-        lock(&self.covered)
-            .get(&agent)
-            .map_or(0, covered::Covered::through)
+        let agents = self.agents.read().unwrap_or_else(PoisonError::into_inner);
+        let covered = agents.get(&agent);
+        covered.map_or(0, |covered| lock(covered).through())
     }
 
     /// Takes a consistent copy of everything that goes into the holder's record.
     pub fn snapshot(&self, member: &member::Member, seq: u64) -> holder_record::HolderRecord {
-        let covered = lock(&self.covered);
-        let accounts = self.accounts.read().unwrap_or_else(PoisonError::into_inner);
-        let figures = accounts.iter().map(|(budget, account)| {
-            let account = lock(account);
-            (budget.clone(), account.figures.clone())
-        });
-        let budgets = figures.collect();
-        let receipts = covered.iter().map(|(agent, covered)| {
+        let _gate = self.gate.write().unwrap_or_else(PoisonError::into_inner);
+        let agents = self.agents.read().unwrap_or_else(PoisonError::into_inner);
+        let receipts = agents.iter().map(|(agent, covered)| {
+            let covered = lock(covered);
             let receipts = holder_record::CoveredReceipts {
                 through: covered.through(),
                 beyond: covered.beyond().iter().copied().collect(),
             };
             (*agent, receipts)
         });
+        let covered = receipts.collect();
+        let accounts = self.accounts.read().unwrap_or_else(PoisonError::into_inner);
+        let figures = accounts.iter().map(|(budget, account)| {
+            let account = lock(account);
+            (budget.clone(), account.figures.clone())
+        });
         holder_record::HolderRecord {
             member: member.clone(),
             seq,
             state: holder_record::HolderState::Live,
-            budgets,
-            covered: receipts.collect(),
+            budgets: figures.collect(),
+            covered,
+            resolved: lock(&self.resolved).clone(),
         }
     }
 }
--- a/src/coordination/receipt_log.rs
+++ b/src/coordination/receipt_log.rs
@@ -1,22 +1,119 @@
-//! The receipts that an agent keeps until their holder has made them durable.
+//! What an agent has run for each holder, what still runs, and what it has promised not to run.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use crate::state::{member, name, receipt};
 
+/// Attempts that may be forbidden for one holder at a time.
+const MAX_FORBIDDEN: usize = 65_536;
+
+/// Why an attempt must not begin.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Barred {
+    /// The holder is fenced.
+    Fenced,
+    /// The holder has been told that this attempt does not run.
+    Forbidden,
+    /// This attempt was begun before.
+    Repeated,
+}
+
+/// An attempt that has begun and is not charged yet.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Open {
+    /// Budget that pays.
+    pub budget: name::Name,
+    /// Tokens reserved.
+    pub bound: u64,
+}
+
+type AttemptId = (name::Name, u32);
+
 /// Receipts by holder.
 #[derive(Debug, Default)]
 pub struct ReceiptLog {
     holders: HashMap<member::Incarnation, HolderReceipts>,
+    fenced: BTreeSet<member::Incarnation>,
 }
 
 #[derive(Debug, Default)]
 struct HolderReceipts {
     last: u64,
     kept: BTreeMap<u64, receipt::Receipt>,
+    open: BTreeMap<AttemptId, Open>,
+    forbidden: BTreeSet<AttemptId>,
 }
 
 impl ReceiptLog {
+    /// Lets an attempt begin; it counts as running until [`end`](Self::end).
+    ///
+    /// # Errors
+    ///
+    /// [`Barred`] tells why it must not begin.
+    ///
+    /// ```
+    /// use fulmarproxy::coordination::receipt_log;
+    /// let mut log = receipt_log::ReceiptLog::default();
+    /// let open = receipt_log::Open { budget: "desk".into(), bound: 5 };
+    /// assert!(log.begin(1, "r".into(), 0, open.clone()).is_ok());
+    /// log.fence([1]);
+    /// assert!(log.begin(1, "s".into(), 0, open).is_err());
+    /// assert!(!log.after(1, 0)[0].is_charged());
+    /// ```
+    pub fn begin(
+        &mut self,
+        holder: member::Incarnation,
+        request: name::Name,
+        attempt: u32,
+        open: Open,
+    ) -> Result<(), Barred> {
+        if self.fenced.contains(&holder) {
+            return Err(Barred::Fenced);
+        }
+        let receipts = self.holders.entry(holder).or_default();
+        let id = (request, attempt);
+        if receipts.forbidden.contains(&id) {
+            return Err(Barred::Forbidden);
+        }
+        if receipts.open.contains_key(&id) {
+            return Err(Barred::Repeated);
+        }
+        receipts.open.insert(id, open);
+        Ok(())
+    }
+
+    /// Ends an attempt that was charged or did not run; returns whether it was running.
+    pub fn end(&mut self, holder: member::Incarnation, request: &name::Name, attempt: u32) -> bool {
+        let receipts = self.holders.entry(holder).or_default();
+        let id = (request.clone(), attempt);
+        receipts.open.remove(&id).is_some()
+    }
+
+    /// Promises never to begin an attempt; returns false when too many are forbidden already.
+    ///
+    /// ```
+    /// let mut log = fulmarproxy::coordination::receipt_log::ReceiptLog::default();
+    /// assert!(log.forbid(1, "r".into(), 0));
+    /// ```
+    pub fn forbid(
+        &mut self,
+        holder: member::Incarnation,
+        request: name::Name,
+        attempt: u32,
+    ) -> bool {
+        let receipts = self.holders.entry(holder).or_default();
+        if receipts.forbidden.len() >= MAX_FORBIDDEN {
+            return false;
+        }
+        receipts.forbidden.insert((request, attempt));
+        true
+    }
+
+    /// Promises to begin nothing more for some holders.
+    pub fn fence(&mut self, holders: impl IntoIterator<Item = member::Incarnation>) {
+        self.fenced.extend(holders);
+    }
+
     /// Numbers and keeps a charge.
     ///
     /// ```
@@ -52,15 +149,23 @@
         }
     }
 
-    /// Receipts of a holder with numbers above `after`, in order.
+    /// Attempts of a holder that still run, then receipts with numbers above `after`, in order.
     pub fn after(&self, holder: member::Incarnation, after: u64) -> Vec<receipt::Receipt> {
         let Some(receipts) = self.holders.get(&holder) else {
             return Vec::new();
         };
-        receipts
-            .kept
-            .range(after + 1..)
-            .map(|(_, receipt)| receipt.clone())
-            .collect()
+        let open = receipts
+            .open
+            .iter()
+            .map(|((request, _), open)| receipt::Receipt {
+                number: receipt::OPEN,
+                request: request.clone(),
+                budget: open.budget.clone(),
+                tokens: open.bound,
+                ran: true,
+            });
+        let kept = receipts.kept.range(after + 1..);
+        let charged = kept.map(|(_, receipt)| receipt.clone());
+        open.chain(charged).collect()
     }
 }
--- a/src/state/holder_record.rs
+++ b/src/state/holder_record.rs
@@ -1,6 +1,6 @@
 //! The record that a holder of tokens alone writes.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
@@ -55,4 +55,7 @@
     pub budgets: BTreeMap<name::Name, HolderBudget>,
     /// Receipts counted, by agent incarnation.
     pub covered: BTreeMap<member::Incarnation, CoveredReceipts>,
+    /// Replaced agents that the holder has no open work at and never gives any again.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub resolved: BTreeSet<member::Incarnation>,
 }
--- a/src/state/ledger.rs
+++ b/src/state/ledger.rs
@@ -1,6 +1,6 @@
 //! Ledger buckets: how a budget's prepaid total is divided among holders.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
@@ -49,6 +49,9 @@
 pub struct Bucket {
     /// Entries by budget.
     pub entries: BTreeMap<name::Name, Entry>,
+    /// Holders closed in this bucket whose records are not marked as closed yet.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub done: BTreeSet<member::Incarnation>,
 }
 
 /// Returns the bucket number of a budget.
@@ -120,4 +123,20 @@
         share.seq += 1;
         tokens
     }
+
+    /// Moves tokens of a holder back to the free ones.
+    ///
+    /// ```
+    /// let mut entry = fulmarproxy::state::ledger::Entry { total: 5, ..Default::default() };
+    /// entry.grant(7, 4);
+    /// entry.give_back(7, 3);
+    /// assert_eq!(entry.free(), 4);
+    /// ```
+    pub fn give_back(&mut self, holder: member::Incarnation, tokens: u64) {
+        let Some(share) = self.shares.get_mut(&holder) else {
+            return;
+        };
+        share.granted = share.granted.saturating_sub(tokens);
+        share.seq += 1;
+    }
 }
