Follow the head by watch and gossip; bound heartbeats; coordinate orders by lease

Cause: every router polled the head twice a second and every agent reported to every router. Change: a few routers of a region watch the head, the others learn versions from peers and take only changed chunks from them; agents report to three routers; orders carry a fencing number.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -23,6 +23,7 @@
 mod attempt;
 mod beats;
 mod calls;
+mod orders;
 mod usage;
 
 const IDLE_POLL: Duration = Duration::from_millis(50);
@@ -59,6 +60,7 @@
     fences: AtomicU64,
     running: AtomicU32,
     draining: AtomicBool,
+    orders: orders::Orders,
 }
 
 impl Agent {
@@ -85,6 +87,7 @@
             fences: AtomicU64::new(0),
             running: AtomicU32::new(0),
             draining: AtomicBool::new(false),
+            orders: orders::Orders::default(),
         })
     }
 
--- a/src/agent/beats.rs
+++ b/src/agent/beats.rs
@@ -1,9 +1,16 @@
-//! Heartbeats from an agent to the routers.
+//! Heartbeats from an agent to a bounded set of routers.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use crate::{
     agent::Agent,
+    coordination::membership,
     protocol::{messages, vm_list},
     state::name,
     transport::timers,
@@ -11,7 +18,12 @@
 
 const BEAT_PERIOD: Duration = Duration::from_millis(500);
 const BEAT_LIMIT: Duration = Duration::from_secs(2);
-const LIST_PERIOD: Duration = Duration::from_secs(5);
+
+/// Period of reading the list while all routers answer.
+const CALM_LIST_PERIOD: Duration = Duration::from_secs(30);
+
+/// Least time between two reads of the list.
+const LIST_PERIOD: Duration = Duration::from_secs(2);
 
 /// Starts the heartbeats.
 pub fn start(agent: Arc<Agent>) {
@@ -20,53 +32,80 @@
         let ticks = agent.runtime.every(BEAT_PERIOD);
         let mut routers = Vec::new();
         let mut read_at: Option<timers::Now> = None;
+        let failed = Arc::new(AtomicBool::new(false));
         while let Ok(now) = ticks.recv().await {
-            if read_at.is_none_or(|at| now - at > LIST_PERIOD) || routers.is_empty() {
+            let troubled = failed.load(Ordering::Relaxed) || routers.is_empty();
+            let period = if troubled {
+                LIST_PERIOD
+            } else {
+                CALM_LIST_PERIOD
+            };
+            if read_at.is_none_or(|at| now.saturating_sub(at) > period) {
                 routers = read_routers(&agent).await.unwrap_or(routers);
                 read_at = Some(now);
+                failed.store(false, Ordering::Relaxed);
             }
             for address in &routers {
-                agent.runtime.spawn(beat(agent.clone(), address.clone()));
+                let beat = beat(agent.clone(), address.clone(), failed.clone());
+                agent.runtime.spawn(beat);
             }
         }
     });
 }
 
 async fn read_routers(agent: &Agent) -> Option<Vec<name::Name>> {
-    match (agent.vms.read)().await {
-        Ok(vms) => {
-            let routers = vms
-                .into_iter()
-                .filter(|vm| vm.role == vm_list::VmRole::Router);
-            Some(routers.map(|vm| vm.address).collect())
-        }
-        Err(err) => {
+    let read = agent.runtime.timers.within(BEAT_LIMIT, (agent.vms.read)());
+    match read.await {
+        Some(Ok(vms)) => Some(choose(agent, vms)),
+        Some(Err(err)) => {
             tracing::warn!("beats: {err}.");
             None
         }
+        None => {
+            tracing::warn!("beats: the list of VMs does not answer.");
+            None
+        }
     }
 }
 
-async fn beat(agent: Arc<Agent>, address: name::Name) {
+fn choose(agent: &Agent, vms: Vec<vm_list::Vm>) -> Vec<name::Name> {
+    let serving =
+        |vm: &vm_list::Vm| vm.role == vm_list::VmRole::Router && vm.state == vm_list::VmState::Live;
+    let places = vms.into_iter().filter(serving).map(|vm| membership::Place {
+        address: vm.address,
+        region: vm.region,
+        zone: vm.zone,
+    });
+    let at = membership::Place {
+        address: agent.member.address.clone(),
+        region: agent.member.region.clone(),
+        zone: agent.member.zone.clone(),
+    };
+    let places: Vec<_> = places.collect();
+    membership::routers_of(&agent.member.name, &at, &places)
+}
+
+async fn beat(agent: Arc<Agent>, address: name::Name, failed: Arc<AtomicBool>) {
     let call = messages::RouterCall::Beat(messages::AgentBeat {
         member: agent.member.clone(),
         service: agent.settings.service.clone(),
         load: agent.load(),
         versions: agent.versions(),
-        models: Vec::new(),
+        models: agent.orders.models(),
         crashes: Vec::new(),
         prefixes: Vec::new(),
     });
     let timers = &agent.runtime.timers;
-    match timers
-        .within(BEAT_LIMIT, (agent.fleet.router)(address.clone(), call))
-        .await
-    {
+    let sent = (agent.fleet.router)(address.clone(), call);
+    match timers.within(BEAT_LIMIT, sent).await {
         Some(Ok(messages::RouterReply::Beat { versions, fenced })) => {
+            agent.config.fetch_max(versions.config, Ordering::Relaxed);
             agent.fence(versions.fences, &fenced);
+            return;
         }
         Some(Ok(_)) => tracing::warn!("beats: unexpected reply from {address}."),
         Some(Err(err)) => tracing::debug!("beats: {address}: {err}."),
         None => tracing::debug!("beats: no answer from {address}."),
     }
+    failed.store(true, Ordering::Relaxed);
 }
--- a/src/agent/calls.rs
+++ b/src/agent/calls.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::Ordering;
 
 use crate::{
-    agent::Agent,
+    agent::{Agent, orders},
     code::Code,
     coordination::roster,
     protocol::{messages, run},
@@ -42,11 +42,9 @@
                 self.draining.store(on, Ordering::Relaxed);
                 messages::AgentReply::Done
             }
-            messages::AgentCall::Order(_) => messages::AgentReply::Ordered(messages::OrderResult {
-                code: Code::BackendRefused,
-                newest: 0,
-                message: "orders are not supported by this backend server".to_owned(),
-            }),
+            messages::AgentCall::Order(order) => {
+                messages::AgentReply::Ordered(orders::take(self, order).await)
+            }
             _ => messages::AgentReply::Done,
         }
     }
--- a/src/coordination/roster.rs
+++ b/src/coordination/roster.rs
@@ -1,6 +1,9 @@
 //! The agents that a router knows, from their heartbeats.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use crate::state::{member, name};
 
@@ -43,13 +46,17 @@
 /// All agents known, by VM name.
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
-    agents: HashMap<name::Name, Agent>,
+    agents: BTreeMap<name::Name, Agent>,
+    leaving: BTreeSet<(name::Name, name::Name)>,
 }
 
 impl Roster {
-    /// Takes a heartbeat; a new incarnation replaces the old one.
+    /// Takes a heartbeat; a new incarnation replaces the old one, an older heartbeat changes nothing.
     pub fn beat(&mut self, member: member::Member, service: name::Name, load: Load, now: Duration) {
         let known = self.agents.get(&member.name);
+        if known.is_some_and(|agent| agent.seen > now) {
+            return;
+        }
         let same = known.filter(|agent| agent.member.incarnation == member.incarnation);
         let in_flight = same.map_or(0, |agent| agent.in_flight);
         let agent = Agent {
@@ -76,10 +83,22 @@
     ) -> impl Iterator<Item = &'a Agent> {
         self.agents.values().filter(move |agent| {
             let fresh = now.saturating_sub(agent.seen) < SUSPECT_AFTER;
-            fresh && !agent.load.draining && !agent.load.down && services.contains(&agent.service)
+            let serves = !agent.load.draining && !agent.load.down && !self.is_leaving(agent);
+            fresh && serves && services.contains(&agent.service)
         })
     }
 
+    /// Replaces the names and addresses of the VMs that are about to go.
+    pub fn set_leaving(&mut self, leaving: BTreeSet<(name::Name, name::Name)>) {
+        self.leaving = leaving;
+    }
+
+    fn is_leaving(&self, agent: &Agent) -> bool {
+        let member = &agent.member;
+        let place = (member.name.clone(), member.address.clone());
+        self.leaving.contains(&place)
+    }
+
     /// Counts an attempt that begins or ends at an agent.
     pub fn count(&mut self, name: &str, change: i32) {
         if let Some(agent) = self.agents.get_mut(name) {
--- a/src/router.rs
+++ b/src/router.rs
@@ -24,7 +24,9 @@
 pub mod exchange;
 pub mod follow;
 mod front;
+mod gossip;
 mod members;
+mod orders;
 pub mod request;
 
 const IDLE_POLL: Duration = Duration::from_millis(50);
@@ -63,6 +65,8 @@
     fences: Mutex<fences::Fences>,
     escrow: escrow::Escrow,
     billing: billing::Billing,
+    follow: follow::Follow,
+    gossip: gossip::Gossip,
     in_flight: AtomicU32,
     leaving: AtomicBool,
 }
@@ -91,6 +95,8 @@
             fences: Mutex::default(),
             escrow: escrow::Escrow::default(),
             billing: billing::Billing::default(),
+            follow: follow::Follow::default(),
+            gossip: gossip::Gossip::default(),
             in_flight: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
         })
@@ -101,6 +107,8 @@
         follow::start(self.clone());
         billing::start(self.clone());
         members::start(self.clone());
+        gossip::start(self.clone());
+        orders::start(self.clone());
     }
 
     /// Configuration in force.
@@ -113,20 +121,23 @@
         if self.leaving.load(Ordering::Relaxed) {
             return Some("leaving".to_owned());
         }
-        let version = self.config().config.version;
-        (version == 0).then(|| "no configuration has been read yet".to_owned())
+        follow::readiness(self)
     }
 
     /// A summary as JSON.
     pub fn status(&self) -> String {
         let roster = self.roster.lock().unwrap();
         let agents: Vec<_> = roster.all().map(|agent| &agent.member.name).collect();
+        let versions = gossip::versions_of_agents(self);
         serde_json::json!({
             "member": self.member,
             "config": self.config().config.version,
             "in_flight": self.in_flight.load(Ordering::Relaxed),
             "agents": agents,
             "peers": *self.peers.lock().unwrap(),
+            "versions": versions,
+            "watches": gossip::watches(self),
+            "live": gossip::live(self).len(),
         })
         .to_string()
     }
--- a/src/router/calls.rs
+++ b/src/router/calls.rs
@@ -1,6 +1,9 @@
 //! Calls to a router from other members.
 
-use crate::{protocol::messages, router::Router};
+use crate::{
+    protocol::messages,
+    router::{Router, follow, gossip},
+};
 
 impl Router {
     /// Answers a call; `None` when another incarnation is meant or the call is not served.
@@ -8,12 +11,17 @@
         match call {
             messages::RouterCall::Beat(beat) => Some(self.take_beat(beat)),
             messages::RouterCall::Status => Some(messages::RouterReply::Status(self.status())),
+            messages::RouterCall::Gossip(theirs) => {
+                Some(messages::RouterReply::Gossip(gossip::answer(self, theirs)))
+            }
+            messages::RouterCall::Config { after } => Some(follow::answer(self, after)),
             _ => None,
         }
     }
 
     fn take_beat(&self, beat: messages::AgentBeat) -> messages::RouterReply {
         let now = self.runtime.timers.now();
+        gossip::take_beat(self, &beat, now);
         self.roster
             .lock()
             .unwrap()
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -111,6 +111,10 @@
         fleet
     }
 
+    pub fn key_file(&self) -> String {
+        self.key_file.display().to_string()
+    }
+
     pub fn platform_url(&self, path: &str) -> String {
         format!("http://{}{path}", self.platform.address)
     }
--- /dev/null
+++ b/tests/publishing.rs
@@ -0,0 +1,198 @@
+//! Publications reach routers through stores that are down, silent or lose answers.
+
+mod common;
+
+use std::{path::Path, process::Command};
+
+use fulmarproxy::{ctl, state::object_set, transport::http, transport::store};
+use serde_json::{Value, json};
+
+fn set_faults(fleet: &common::Fleet, faults: &Value) {
+    let conn = fleet.client.post(fleet.platform_url("/faults"));
+    let conn = conn.with_body(faults.to_string());
+    let answered = smol::block_on(async { conn.await.unwrap().success() });
+    assert!(answered.is_ok(), "the faults are set");
+}
+
+fn status(fleet: &common::Fleet, router: usize) -> Option<Value> {
+    let url = format!("http://{}/status", fleet.routers[router].admin);
+    smol::block_on(http::get(&fleet.client, "status", &url)).ok()
+}
+
+fn wait_version(fleet: &common::Fleet, router: usize, version: u64) {
+    common::wait_for("the version to be in force", || {
+        status(fleet, router).is_some_and(|found| found["config"] == version)
+    });
+}
+
+fn wait_peers(fleet: &common::Fleet, router: usize, peers: usize) {
+    common::wait_for("the router to hear its peers", || {
+        status(fleet, router).is_some_and(|found| found["live"] == peers)
+    });
+}
+
+fn readiness(fleet: &common::Fleet, router: usize) -> String {
+    let url = format!("http://{}/readyz", fleet.routers[router].admin);
+    smol::block_on(async {
+        match fleet.client.get(url).await {
+            Ok(mut conn) => conn.response_body().read_string().await.unwrap_or_default(),
+            Err(_) => String::new(),
+        }
+    })
+}
+
+fn example() -> object_set::ObjectSet {
+    let dir = Path::new(env!("CARGO_MANIFEST_DIR")).join("examples/haugland");
+    ctl::read_dir(&dir).unwrap()
+}
+
+fn store(fleet: &common::Fleet) -> store::Store {
+    store::Store::over_http(&fleet.platform_url(""))
+}
+
+/// Publishes the example with another total of one budget.
+fn publish(fleet: &common::Fleet, total: u64) -> u64 {
+    let mut set = example();
+    set.budgets.get_mut("fjordforlaget").unwrap().prepaid_tokens = total;
+    smol::block_on(ctl::publish_set(&store(fleet), &set, None)).unwrap()
+}
+
+#[test]
+fn a_silent_watch_is_noticed() {
+    let mut fleet = common::Fleet::start("haugland");
+    fleet.add_router();
+    wait_version(&fleet, 0, 1);
+    set_faults(&fleet, &json!({ "mute_watches": true }));
+    assert_eq!(publish(&fleet, 9_000_000), 2);
+    wait_version(&fleet, 0, 2);
+}
+
+#[test]
+fn a_router_that_starts_without_the_store_asks_its_peers() {
+    let mut fleet = common::Fleet::start("haugland");
+    fleet.add_router();
+    wait_version(&fleet, 0, 1);
+    set_faults(&fleet, &json!({ "down": true }));
+    fleet.add_router();
+    wait_version(&fleet, 1, 1);
+}
+
+#[test]
+fn a_router_without_store_and_peers_says_why_it_is_not_ready() {
+    let mut fleet = common::Fleet::start("haugland");
+    set_faults(&fleet, &json!({ "down": true }));
+    fleet.add_router();
+    common::wait_for("the reason", || {
+        let reason = readiness(&fleet, 0);
+        reason.contains("no configuration has been read yet") && reason.contains("503")
+    });
+    set_faults(&fleet, &json!({}));
+    wait_version(&fleet, 0, 1);
+}
+
+#[test]
+fn a_store_that_went_back_takes_no_version_back() {
+    let mut fleet = common::Fleet::start("haugland");
+    let store = store(&fleet);
+    let first = smol::block_on(store.get(store::HEAD_KEY)).unwrap().unwrap();
+    publish(&fleet, 9_000_000);
+    fleet.add_router();
+    wait_version(&fleet, 0, 2);
+    let newest = smol::block_on(store.get(store::HEAD_KEY)).unwrap().unwrap();
+    let old: Value = serde_json::from_slice(&first.value.0).unwrap();
+    let revision = newest.mod_revision.0;
+    let put = smol::block_on(store.put_if(store::HEAD_KEY, &old, revision, 0)).unwrap();
+    assert!(matches!(put, store::Put::Written(_)));
+    fleet.add_router();
+    wait_version(&fleet, 1, 2);
+    wait_version(&fleet, 0, 2);
+}
+
+fn tool(fleet: &common::Fleet, args: &[&str]) -> (i32, String) {
+    let output = Command::new(env!("CARGO_BIN_EXE_fulmarctl"))
+        .args(args)
+        .args(["--store", &fleet.platform_url("")])
+        .output()
+        .unwrap();
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    let errors = String::from_utf8_lossy(&output.stderr);
+    (output.status.code().unwrap(), text + &errors)
+}
+
+#[test]
+fn one_of_two_racing_publishers_wins() {
+    let fleet = common::Fleet::start("haugland");
+    let racers: Vec<_> = (0..4)
+        .map(|racer| {
+            let store = store(&fleet);
+            let mut set = example();
+            set.budgets.get_mut("fjordforlaget").unwrap().prepaid_tokens += 1 + racer;
+            std::thread::spawn(move || smol::block_on(ctl::publish_set(&store, &set, Some(1))))
+        })
+        .collect();
+    let results: Vec<_> = racers.into_iter().map(|r| r.join().unwrap()).collect();
+    let won = results.iter().filter(|result| matches!(result, Ok(2)));
+    assert_eq!(won.count(), 1, "{results:?}");
+    let (code, text) = tool(
+        &fleet,
+        &["publish", "examples/haugland", "--expect", "1"],
+    );
+    assert_eq!(code, i32::from(ctl::EXIT_CONFLICT), "{text}");
+    assert!(text.contains("budget fjordforlaget"), "{text}");
+}
+
+#[test]
+fn a_lost_answer_to_the_head_is_resolved_by_the_publish_id() {
+    let fleet = common::Fleet::start("haugland");
+    let mut set = example();
+    set.budgets.get_mut("fjordforlaget").unwrap().prepaid_tokens += 5;
+    set_faults(&fleet, &json!({ "lose_answers": 2 }));
+    let published = smol::block_on(ctl::publish_set(&store(&fleet), &set, Some(1)));
+    assert_eq!(published.unwrap(), 2);
+    let (head, found) = smol::block_on(ctl::read_published(&store(&fleet))).unwrap();
+    assert_eq!((head.version, found), (2, set));
+}
+
+#[test]
+fn a_cut_below_what_is_granted_is_refused_with_the_least_total() {
+    let mut fleet = common::Fleet::start("haugland");
+    fleet.add_router();
+    fleet.add_agent("fortelling", 10);
+    fleet.wait_ready(0, 1);
+    let body = json!({ "model": "quick", "max_tokens": 20,
+        "messages": [{ "role": "user", "content": "when is the brief due" }] });
+    assert_eq!(fleet.chat(0, "fjordforlaget-key", &body).0, 200);
+    let (code, text) = tool(&fleet, &["budget", "top-up", "fjordforlaget", "1"]);
+    assert_eq!(code, i32::from(ctl::EXIT_FINDINGS), "{text}");
+    let least = text
+        .split("the least total that passes is ")
+        .nth(1)
+        .unwrap_or_else(|| panic!("{text}"));
+    let least: String = least.chars().take_while(char::is_ascii_digit).collect();
+    let (code, text) = tool(&fleet, &["budget", "top-up", "fjordforlaget", &least]);
+    assert_eq!(code, 0, "{text}");
+    wait_version(&fleet, 0, 2);
+}
+
+#[test]
+fn a_wait_ends_when_all_routers_run_the_version() {
+    let mut fleet = common::Fleet::start("haugland");
+    fleet.add_router();
+    fleet.add_router();
+    fleet.add_agent("fortelling", 10);
+    fleet.wait_ready(0, 1);
+    wait_peers(&fleet, 0, 1);
+    let vms = fleet.platform_url("/vms");
+    let key = fleet.key_file();
+    let reach = ["--vms", &vms, "--fleet-key-file", &key];
+    let publish = ["publish", "examples/haugland", "--wait"];
+    let (code, text) = tool(&fleet, &[&publish[..], &reach].concat());
+    assert_eq!(code, 0, "{text}");
+    let (code, text) = tool(&fleet, &[&["status", "--json"][..], &reach].concat());
+    assert_eq!(code, 0, "{text}");
+    let found: Value = serde_json::from_str(&text).unwrap();
+    assert_eq!(found["lagging"], json!([]));
+    assert_eq!(found["routers"].as_array().unwrap().len(), 2);
+    let (code, text) = tool(&fleet, &[&["drain", "backend-0"][..], &reach].concat());
+    assert_eq!(code, 0, "{text}");
+}
