--- a/src/agent.rs
+++ b/src/agent.rs
@@ -5,7 +5,7 @@
     net::TcpListener,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -20,12 +20,15 @@
 };
 
 mod admission;
+mod answers;
 mod attempt;
 mod beats;
 mod calls;
+mod crashes;
 mod usage;
 
 const IDLE_POLL: Duration = Duration::from_millis(50);
+const SWEEP_PERIOD: Duration = Duration::from_millis(500);
 
 /// What an agent is made of.
 pub struct Parts {
@@ -57,7 +60,9 @@
     fenced: Mutex<HashSet<member::Incarnation>>,
     config: AtomicU64,
     fences: AtomicU64,
-    running: AtomicU32,
+    admission: admission::Admission,
+    answers: answers::Answers,
+    crashes: crashes::Crashes,
     draining: AtomicBool,
 }
 
@@ -73,6 +78,9 @@
             zone: settings.zone.clone(),
         };
         Arc::new(Self {
+            admission: admission::Admission::new(settings.slots),
+            answers: answers::Answers::default(),
+            crashes: crashes::Crashes::default(),
             settings,
             member,
             runtime: parts.runtime,
@@ -83,7 +91,6 @@
             fenced: Mutex::default(),
             config: AtomicU64::new(0),
             fences: AtomicU64::new(0),
-            running: AtomicU32::new(0),
             draining: AtomicBool::new(false),
         })
     }
@@ -91,11 +98,25 @@
     /// Starts the parts that work by themselves.
     pub fn start(self: &Arc<Self>) {
         beats::start(self.clone());
+        self.sweep();
     }
 
-    /// Runs one attempt; parts of the answer go to `tx`, and a closed `tx` cancels it.
+    /// Cancels, from time to time, what runs for nobody.
+    fn sweep(self: &Arc<Self>) {
+        let agent = self.clone();
+        self.runtime.spawn(async move {
+            let ticks = agent.runtime.every(SWEEP_PERIOD);
+            while let Ok(now) = ticks.recv().await {
+                agent.answers.sweep(now);
+            }
+        });
+    }
+
+    /// Runs one attempt; parts of the answer go to `tx`.
+    ///
+    /// The attempt runs on for a grace period when `tx` is closed or the future is dropped.
     pub async fn run(
-        &self,
+        self: &Arc<Self>,
         req: run::RunRequest,
         tx: async_channel::Sender<Vec<u8>>,
     ) -> run::RunOutcome {
@@ -103,15 +124,22 @@
             .lock()
             .unwrap()
             .acknowledge(req.holder, req.acked);
-        match admission::admit(self, &req) {
-            Ok(_running) => attempt::run(self, &req, &tx).await,
-            Err(refused) => refused,
-        }
+        attempt::run(self, req, &tx).await
     }
 
     /// Requests that run now.
     pub fn running(&self) -> u32 {
-        self.running.load(Ordering::Relaxed)
+        self.admission.counts().0
+    }
+
+    /// Requests that run, wait, or are being read.
+    pub fn active(&self) -> usize {
+        self.answers.with(|kept| kept.active())
+    }
+
+    /// Whether a request runs or waits here.
+    pub fn runs(&self, id: &str) -> bool {
+        self.answers.with(|kept| kept.runs(id))
     }
 
     /// Whether the agent takes no new work.
@@ -200,7 +228,7 @@
     agent.drain();
     let timers = &agent.runtime.timers;
     let idle = async {
-        while agent.running() > 0 {
+        while agent.active() > 0 {
             timers.sleep(IDLE_POLL).await;
         }
     };
--- a/src/agent/admission.rs
+++ b/src/agent/admission.rs
@@ -1,20 +1,121 @@
-//! Decides whether an agent takes an attempt.
+//! Decides whether and when an agent runs an attempt.
 
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, atomic::Ordering},
+    time::Duration,
+};
 
-use crate::{agent::Agent, code::Code, protocol::run};
+use crate::{agent::Agent, code::Code, coordination::slots, protocol::run};
 
-/// Counts a running request while it lives.
-pub struct Running<'a>(&'a AtomicU32);
+/// Attempts that may wait at the agent, as a part of its slots.
+const QUEUE_DIVISOR: u32 = 2;
 
-impl Drop for Running<'_> {
+/// When to come back to an agent whose queue is full.
+const FULL_RETRY: Duration = Duration::from_secs(1);
+
+/// Slots and the attempts that wait for one.
+pub struct Admission(Mutex<Inner>);
+
+struct Inner {
+    slots: slots::Slots,
+    waiting: BTreeMap<slots::Ticket, async_channel::Sender<()>>,
+}
+
+impl Inner {
+    fn call(&mut self, tickets: Vec<slots::Ticket>) {
+        for ticket in tickets {
+            if let Some(tx) = self.waiting.remove(&ticket) {
+                let _ = tx.try_send(());
+            }
+        }
+    }
+}
+
+impl Admission {
+    /// Admits as many attempts as the engine has slots, and lets some more wait.
+    pub fn new(slots: u32) -> Self {
+        let queue = slots.div_ceil(QUEUE_DIVISOR) as usize;
+        Self(Mutex::new(Inner {
+            slots: slots::Slots::new(slots, queue),
+            waiting: BTreeMap::new(),
+        }))
+    }
+
+    /// Attempts that run and that wait.
+    pub fn counts(&self) -> (u32, u32) {
+        let inner = self.0.lock().unwrap();
+        (inner.slots.running(), inner.slots.queued())
+    }
+}
+
+/// Holds a slot while it lives.
+pub struct Running(Arc<Agent>);
+
+impl Drop for Running {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
+        let mut inner = self.0.admission.0.lock().unwrap();
+        let called = inner.slots.leave();
+        inner.call(called);
     }
 }
 
-/// Takes an attempt, or tells why it does not run.
-pub fn admit<'a>(agent: &'a Agent, req: &run::RunRequest) -> Result<Running<'a>, run::RunOutcome> {
+/// Holds a place in the queue while it lives.
+struct Waiting {
+    agent: Arc<Agent>,
+    ticket: slots::Ticket,
+    called: bool,
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        if self.called {
+            return;
+        }
+        let mut inner = self.agent.admission.0.lock().unwrap();
+        inner.waiting.remove(&self.ticket);
+        let called = match inner.slots.give_up(self.ticket) {
+            true => inner.slots.call(),
+            false => inner.slots.leave(),
+        };
+        inner.call(called);
+    }
+}
+
+/// Waits for a slot, or tells why the attempt does not run.
+pub async fn enter(agent: &Arc<Agent>, req: &run::RunRequest) -> Result<Running, run::RunOutcome> {
+    let waiting = {
+        let mut inner = agent.admission.0.lock().unwrap();
+        match inner.slots.enter(req.priority, req.solo) {
+            slots::Entry::Run => return Ok(Running(agent.clone())),
+            slots::Entry::Full => return Err(full()),
+            slots::Entry::Wait(ticket) => {
+                let (tx, rx) = async_channel::bounded(1);
+                inner.waiting.insert(ticket, tx);
+                (ticket, rx)
+            }
+        }
+    };
+    let mut place = Waiting {
+        agent: agent.clone(),
+        ticket: waiting.0,
+        called: false,
+    };
+    if waiting.1.recv().await.is_err() {
+        return Err(full());
+    }
+    place.called = true;
+    Ok(Running(agent.clone()))
+}
+
+fn full() -> run::RunOutcome {
+    let mut full = run::RunOutcome::not_run(Code::Overloaded, "all slots are taken");
+    full.retry_after = FULL_RETRY;
+    full
+}
+
+/// Checks that the agent takes an attempt of this router now.
+pub fn check(agent: &Agent, req: &run::RunRequest) -> Result<(), run::RunOutcome> {
     let refuse = |code, message: &str| Err(run::RunOutcome::not_run(code, message));
     if req.agent != agent.member.incarnation {
         return refuse(Code::WrongAgent, "the agent has restarted");
@@ -34,10 +135,5 @@
     if agent.fenced.lock().unwrap().contains(&req.holder) {
         return refuse(Code::Fenced, "the holder is fenced");
     }
-    let taken = agent.running.fetch_add(1, Ordering::Relaxed);
-    let running = Running(&agent.running);
-    if taken >= agent.settings.slots {
-        return refuse(Code::Overloaded, "all slots are taken");
-    }
-    Ok(running)
+    Ok(())
 }
--- a/src/agent/beats.rs
+++ b/src/agent/beats.rs
@@ -54,7 +54,7 @@
         load: agent.load(),
         versions: agent.versions(),
         models: Vec::new(),
-        crashes: Vec::new(),
+        crashes: agent.crashes.report(agent.runtime.timers.now()),
         prefixes: Vec::new(),
     });
     let timers = &agent.runtime.timers;
--- a/src/agent/calls.rs
+++ b/src/agent/calls.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::Ordering;
 
 use crate::{
-    agent::Agent,
+    agent::{Agent, answers},
     code::Code,
     coordination::roster,
     protocol::{messages, run},
@@ -38,6 +38,11 @@
                     versions: self.versions(),
                 }
             }
+            messages::AgentCall::Cancel { agent, id, .. } if self.is(agent) => {
+                self.answers.with(|kept| kept.cancel(&id));
+                self.answers.sweep(self.runtime.timers.now());
+                messages::AgentReply::Done
+            }
             messages::AgentCall::Drain { on } => {
                 self.draining.store(on, Ordering::Relaxed);
                 messages::AgentReply::Done
@@ -55,10 +60,14 @@
     pub async fn resume(
         &self,
         resume: messages::Resume,
-        _tx: async_channel::Sender<Vec<u8>>,
+        tx: async_channel::Sender<Vec<u8>>,
     ) -> run::RunOutcome {
-        let message = format!("request {} is not kept", resume.id);
-        run::RunOutcome::not_run(Code::NoBackend, message)
+        if !self.is(resume.agent) {
+            let mut lost = run::RunOutcome::not_run(Code::WrongAgent, "the agent has restarted");
+            lost.ran = true;
+            return lost;
+        }
+        answers::follow(self, &resume.id, resume.offset, &tx).await
     }
 
     /// Refuses work of more holders from now on.
@@ -71,10 +80,10 @@
     pub fn load(&self) -> roster::Load {
         roster::Load {
             running: self.running(),
-            queued: 0,
+            queued: self.admission.counts().1,
             slots: self.settings.slots,
             draining: self.is_draining(),
-            down: false,
+            down: self.crashes.is_down(),
         }
     }
 
--- a/src/code.rs
+++ b/src/code.rs
@@ -81,6 +81,9 @@
     /// The caller went away.
     #[display("caller_gone")]
     CallerGone = 404,
+    /// The backend server crashed while the request ran.
+    #[display("backend_crashed")]
+    BackendCrashed = 405,
     /// A fault of the fleet itself.
     #[display("internal")]
     Internal = 500,
@@ -88,7 +91,7 @@
 
 impl Code {
     /// Every code, in the order of the numbers.
-    pub const ALL: [Self; 26] = [
+    pub const ALL: [Self; 27] = [
         Self::Ok,
         Self::BadRequest,
         Self::BadKey,
@@ -114,6 +117,7 @@
         Self::DeadlinePassed,
         Self::AlreadyClaimed,
         Self::CallerGone,
+        Self::BackendCrashed,
         Self::Internal,
     ];
 
@@ -146,7 +150,7 @@
             Self::CrashSuspect => 422,
             Self::BudgetUnreachable => 429,
             Self::CallerGone => 499,
-            Self::BackendFailed | Self::AgentLost => 502,
+            Self::BackendFailed | Self::BackendCrashed | Self::AgentLost => 502,
             Self::DeadlinePassed => 504,
             Self::Internal => 500,
             _ => 503,
--- a/src/coordination/balance.rs
+++ b/src/coordination/balance.rs
@@ -1,26 +1,65 @@
 //! Choice of a backend server for an attempt.
 
-use crate::{coordination::roster, state::name};
+use crate::{
+    coordination::{rendezvous, roster},
+    state::name,
+};
 
-/// Picks the less loaded of two random candidates, in the own availability zone if possible.
+/// Load above which a backend server is passed over for its cached prompt prefix.
+const AFFINITY_LOAD: f64 = 0.75;
+
+/// Load above which a backend server of the own availability zone is passed over.
+const LOCAL_LOAD: f64 = 1.0;
+
+/// What is asked of the choice.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Wanted<'a> {
+    /// Availability zone of the router.
+    pub zone: &'a str,
+    /// VMs that had an attempt before; taken only when there is no other.
+    pub tried: &'a [name::Name],
+    /// Hash of the prompt's prefix; zero when unknown.
+    pub prefix: u64,
+}
+
+/// Picks a backend server: one that has the prompt's prefix cached unless it is loaded, else the
+/// less loaded of two random ones, in the own availability zone if possible.
 ///
 /// ```
 /// use fulmarproxy::coordination::balance;
 /// let mut rng = fastrand::Rng::with_seed(1);
-/// assert!(balance::choose(&[], "a", &[], &mut rng).is_none());
+/// assert!(balance::choose(&[], balance::Wanted::default(), &mut rng).is_none());
 /// ```
 pub fn choose<'a>(
     candidates: &[&'a roster::Agent],
-    zone: &str,
-    tried: &[name::Name],
+    wanted: Wanted<'_>,
+    rng: &mut fastrand::Rng,
+) -> Option<&'a roster::Agent> {
+    let fresh = |agent: &&&roster::Agent| !wanted.tried.contains(&agent.member.name);
+    let mut from: Vec<_> = candidates.iter().filter(fresh).copied().collect();
+    if from.is_empty() {
+        from = candidates.to_vec();
+    }
+    from.sort_by(|a, b| a.member.name.cmp(&b.member.name));
+    if wanted.prefix != 0 {
+        let home = from
+            .iter()
+            .max_by_key(|agent| rendezvous::weight(&agent.member.name, wanted.prefix));
+        if let Some(home) = home.filter(|home| load(home) < AFFINITY_LOAD) {
+            return Some(home);
+        }
+    }
+    let near =
+        |agent: &&roster::Agent| &*agent.member.zone == wanted.zone && load(agent) < LOCAL_LOAD;
+    let local: Vec<_> = from.iter().copied().filter(near).collect();
+    less_loaded(if local.is_empty() { &from } else { &local }, rng)
+}
+
+/// Picks the less loaded of two random candidates.
+fn less_loaded<'a>(
+    from: &[&'a roster::Agent],
     rng: &mut fastrand::Rng,
 ) -> Option<&'a roster::Agent> {
-    let fresh = |agent: &&&roster::Agent| !tried.contains(&agent.member.name);
-    let untried: Vec<_> = candidates.iter().filter(fresh).copied().collect();
-    let open = |agent: &&roster::Agent| load(agent) < 1.0;
-    let near = |agent: &&roster::Agent| &*agent.member.zone == zone && open(agent);
-    let local: Vec<_> = untried.iter().copied().filter(near).collect();
-    let from = if local.is_empty() { &untried } else { &local };
     let first = from.get(rng.usize(..from.len().max(1)))?;
     let second = from.get(rng.usize(..from.len()))?;
     Some(if load(second) < load(first) {
@@ -30,6 +69,7 @@
     })
 }
 
+/// Load of a backend server, from the own attempts and the last heartbeat.
 fn load(agent: &roster::Agent) -> f64 {
     let others = agent.load.running + agent.load.queued;
     let own = agent.in_flight;
--- /dev/null
+++ b/src/coordination/claims.rs
@@ -0,0 +1,170 @@
+//! Claims of calls that must not be repeated: one value of the store holds many.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3;
+
+use crate::{code::Code, state::name};
+
+/// Number of values that the claims are spread over.
+pub const BUCKETS: u64 = 256;
+
+/// Time for which a claim and its outcome are kept.
+pub const RETENTION: Duration = Duration::from_secs(24 * 3600);
+
+/// Most claims of one value.
+pub const BUCKET_CLAIMS: usize = 4000;
+
+/// Most expired keys that one value remembers.
+pub const BUCKET_EXPIRED: usize = 16_000;
+
+/// Hash of an idempotency key within its workspace.
+///
+/// ```
+/// use fulmarproxy::coordination::claims;
+/// assert_ne!(claims::hash("a", "bc"), claims::hash("ab", "c"));
+/// ```
+pub fn hash(workspace: &str, key: &str) -> u64 {
+    xxh3::xxh3_64_with_seed(key.as_bytes(), xxh3::xxh3_64(workspace.as_bytes()))
+}
+
+/// One claim.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    /// Workspace of the caller.
+    pub workspace: name::Name,
+    /// Idempotency key.
+    pub key: name::Name,
+    /// Request id; the claim's own.
+    pub id: name::Name,
+    /// Fingerprint of workspace and body.
+    pub fingerprint: u64,
+    /// Time of the claim, in seconds since 1970.
+    pub at: u64,
+    /// Result code, once the outcome is known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub outcome: Option<u16>,
+}
+
+/// What a claim found.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Claimed {
+    /// The call may be dispatched, once.
+    New,
+    /// The call was claimed before.
+    Before(Claim),
+    /// The claim is refused.
+    Refused(Code),
+}
+
+/// A change of a bucket.
+#[derive(Clone, Debug)]
+pub enum Change {
+    /// Claims a call.
+    Claim(Claim),
+    /// Records how a claimed call ended.
+    Record(Claim),
+    /// Takes back a claim whose call certainly did not run.
+    Release(Claim),
+}
+
+impl Change {
+    /// The claim that changes.
+    pub fn claim(&self) -> &Claim {
+        match self {
+            Self::Claim(claim) | Self::Record(claim) | Self::Release(claim) => claim,
+        }
+    }
+}
+
+/// Claims of one value of the store.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Bucket {
+    /// Claims by hash.
+    #[serde(default)]
+    pub claims: BTreeMap<u64, Claim>,
+    /// Hashes of keys that are past their retention, the oldest first.
+    #[serde(default)]
+    pub expired: VecDeque<u64>,
+}
+
+impl Bucket {
+    /// Applies a change; applying it again finds the same.
+    ///
+    /// ```
+    /// use fulmarproxy::coordination::claims;
+    /// let claim = claims::Claim {
+    ///     workspace: "w".into(), key: "k".into(), id: "r1".into(),
+    ///     fingerprint: 1, at: 0, outcome: None,
+    /// };
+    /// let mut bucket = claims::Bucket::default();
+    /// let change = claims::Change::Claim(claim.clone());
+    /// assert_eq!(bucket.apply(&change), claims::Claimed::New);
+    /// assert_eq!(bucket.apply(&change), claims::Claimed::New);
+    /// let other = claims::Claim { id: "r2".into(), ..claim.clone() };
+    /// let found = bucket.apply(&claims::Change::Claim(other));
+    /// assert_eq!(found, claims::Claimed::Before(claim));
+    /// ```
+    pub fn apply(&mut self, change: &Change) -> Claimed {
+        let claim = change.claim();
+        let hash = hash(&claim.workspace, &claim.key);
+        match change {
+            Change::Claim(claim) => return self.claim(hash, claim),
+            Change::Record(claim) => {
+                if let Some(kept) = self.own(hash, claim) {
+                    kept.outcome = claim.outcome;
+                }
+            }
+            Change::Release(claim) => {
+                if self.own(hash, claim).is_some() {
+                    self.claims.remove(&hash);
+                }
+            }
+        }
+        Claimed::New
+    }
+
+    /// Moves claims that are past their retention to the expired keys.
+    pub fn expire(&mut self, at: u64) {
+        let past = |claim: &Claim| claim.at + RETENTION.as_secs() < at;
+        let hashes: Vec<_> = self
+            .claims
+            .iter()
+            .filter(|(_, claim)| past(claim))
+            .map(|(hash, _)| *hash)
+            .collect();
+        for hash in hashes {
+            self.claims.remove(&hash);
+            self.expired.push_back(hash);
+        }
+        let beyond = self.expired.len().saturating_sub(BUCKET_EXPIRED);
+        self.expired.drain(..beyond);
+    }
+
+    fn claim(&mut self, hash: u64, claim: &Claim) -> Claimed {
+        if self.expired.contains(&hash) {
+            return Claimed::Refused(Code::KeyExpired);
+        }
+        match self.claims.get(&hash) {
+            Some(kept) if kept.id == claim.id => Claimed::New,
+            Some(kept) if kept.fingerprint != claim.fingerprint => {
+                Claimed::Refused(Code::KeyReused)
+            }
+            Some(kept) => Claimed::Before(kept.clone()),
+            None if self.claims.len() >= BUCKET_CLAIMS => Claimed::Refused(Code::ClaimUnavailable),
+            None => {
+                self.claims.insert(hash, claim.clone());
+                Claimed::New
+            }
+        }
+    }
+
+    fn own(&mut self, hash: u64, claim: &Claim) -> Option<&mut Claim> {
+        let kept = self.claims.get_mut(&hash);
+        kept.filter(|kept| kept.id == claim.id)
+    }
+}
--- /dev/null
+++ b/src/coordination/rendezvous.rs
@@ -0,0 +1,27 @@
+//! Rendezvous hashing: members agree on an order of VMs for a hash without talking.
+
+use xxhash_rust::xxh3;
+
+use crate::state::name;
+
+/// Weight of a VM for a hash; the highest comes first.
+///
+/// ```
+/// use fulmarproxy::coordination::rendezvous;
+/// assert_ne!(rendezvous::weight("a", 1), rendezvous::weight("b", 1));
+/// ```
+pub fn weight(vm: &str, hash: u64) -> u64 {
+    xxh3::xxh3_64_with_seed(vm.as_bytes(), hash)
+}
+
+/// Orders VMs for a hash.
+///
+/// ```
+/// use fulmarproxy::coordination::rendezvous;
+/// let order = rendezvous::order(vec!["a".into(), "b".into()], 1);
+/// assert_eq!(order, rendezvous::order(vec!["b".into(), "a".into()], 1));
+/// ```
+pub fn order(mut vms: Vec<name::Name>, hash: u64) -> Vec<name::Name> {
+    vms.sort_by_cached_key(|vm| (std::cmp::Reverse(weight(vm, hash)), vm.clone()));
+    vms
+}
--- a/src/protocol/messages.rs
+++ b/src/protocol/messages.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     code::Code,
-    coordination::roster,
+    coordination::{crashes, roster},
     state::{member, name, receipt},
 };
 
@@ -18,15 +18,7 @@
 }
 
 /// A request that was there when a backend server crashed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Crash {
-    /// Fingerprint of workspace and body.
-    pub fingerprint: u64,
-    /// Crashes that it was there at.
-    pub count: u32,
-    /// Time since the last of them.
-    pub age: time::Duration,
-}
+pub type Crash = crashes::Report;
 
 /// What an agent reports of itself.
 #[derive(Clone, Debug)]
--- a/src/router.rs
+++ b/src/router.rs
@@ -10,9 +10,9 @@
 };
 
 use crate::{
-    coordination::{escrow, roster},
+    coordination::{crashes, ejection, escrow, retry, roster},
     error,
-    protocol::fleet_capnp,
+    protocol::{fleet_capnp, messages},
     settings,
     state::{fences, member, name},
     transport::{admin, dialler, fleet, fleet_link, router_rpc, runtime, store, vms, workers},
@@ -21,14 +21,19 @@
 pub mod ask;
 mod billing;
 mod calls;
+mod claims;
 pub mod exchange;
 pub mod follow;
 mod front;
 mod members;
+mod pull;
 pub mod request;
 
 const IDLE_POLL: Duration = Duration::from_millis(50);
 
+/// Most crash reports that one message to another router holds.
+const CRASHES_TOLD: usize = 256;
+
 /// What a router is made of.
 pub struct Parts {
     /// Checked settings.
@@ -47,7 +52,7 @@
 
 /// Everything that the parts of a router share.
 ///
-/// Lock order: `config`, `roster`, `peers`, `fences`, then the locks of `escrow`.
+/// Lock order: `config`, `roster`, `ejection`, `crashes`, `retries`, `peers`, `fences`, then the locks of `escrow`.
 pub struct Router {
     /// Checked settings.
     pub settings: settings::Settings,
@@ -63,6 +68,10 @@
     fences: Mutex<fences::Fences>,
     escrow: escrow::Escrow,
     billing: billing::Billing,
+    claims: claims::Claims,
+    crashes: Mutex<crashes::Crashes>,
+    ejection: Mutex<ejection::Ejection>,
+    retries: Mutex<retry::Budgets>,
     in_flight: AtomicU32,
     leaving: AtomicBool,
 }
@@ -91,6 +100,10 @@
             fences: Mutex::default(),
             escrow: escrow::Escrow::default(),
             billing: billing::Billing::default(),
+            claims: claims::Claims::default(),
+            crashes: Mutex::default(),
+            ejection: Mutex::default(),
+            retries: Mutex::default(),
             in_flight: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
         })
@@ -108,6 +121,21 @@
         self.config.read().unwrap().clone()
     }
 
+    /// Requests that were there at crashes, to tell other routers.
+    pub fn export_crashes(&self) -> Vec<messages::Crash> {
+        let now = self.runtime.timers.now();
+        self.crashes.lock().unwrap().export(now, CRASHES_TOLD)
+    }
+
+    /// Takes what another router tells of crashes.
+    pub fn merge_crashes(&self, told: &[messages::Crash]) {
+        let now = self.runtime.timers.now();
+        let mut crashes = self.crashes.lock().unwrap();
+        for report in told {
+            crashes.merge(*report, now);
+        }
+    }
+
     /// Tells why the router is not ready; `None` when it is.
     pub fn readiness(&self) -> Option<String> {
         if self.leaving.load(Ordering::Relaxed) {
@@ -197,8 +225,11 @@
 
     stop.await;
     tracing::info!("router: leaving.");
+    router.leaving.store(true, Ordering::Relaxed);
+    let closing = front.shut_down();
+    let drain = router.settings.drain;
     router.leave().await;
-    front.shut_down().await;
+    router.runtime.timers.within(drain, closing).await;
     billing::flush(&router).await;
     drop(accepting);
     admin.shut_down().await;
--- a/src/router/calls.rs
+++ b/src/router/calls.rs
@@ -14,6 +14,10 @@
 
     fn take_beat(&self, beat: messages::AgentBeat) -> messages::RouterReply {
         let now = self.runtime.timers.now();
+        for crash in &beat.crashes {
+            let mut crashes = self.crashes.lock().unwrap();
+            crashes.report(beat.member.incarnation, *crash, now);
+        }
         self.roster
             .lock()
             .unwrap()
--- a/src/router/exchange.rs
+++ b/src/router/exchange.rs
@@ -1,21 +1,59 @@
 //! One request, from reservation to settlement.
 
-use std::sync::Arc;
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use metrics::counter;
 
 use crate::{
     code::Code,
-    coordination::balance,
-    protocol::run,
-    router::{Router, billing, request},
+    coordination::{
+        balance,
+        claims::{self as claim_rules, Claimed},
+        crashes, rendezvous, retry, roster,
+    },
+    protocol::{messages, run},
+    router::{
+        Router, billing, claims,
+        pull::{Next, Pull},
+        request,
+    },
     state::{member, name},
-    transport::{fleet, timers},
+    transport::timers,
 };
 
-const ATTEMPTS: u32 = 3;
 const CHUNKS_TO_CALLER: usize = 32;
 
+/// Longest time that a caller may take for the next part of its answer.
+const CALLER_LIMIT: Duration = Duration::from_secs(30);
+
+/// When to come back if no backend server can take a request now.
+const BUSY_RETRY: Duration = Duration::from_secs(1);
+
+/// Longest wait for a configuration that an agent has seen and this router has not.
+const CONFIG_LIMIT: Duration = Duration::from_secs(2);
+
+const CONFIG_POLL: Duration = Duration::from_millis(50);
+
+/// Counts a request in flight while it lives.
+pub struct InFlight(Arc<Router>);
+
+impl InFlight {
+    /// Counts one request more.
+    pub fn new(router: &Arc<Router>) -> Self {
+        router.in_flight.fetch_add(1, Ordering::Relaxed);
+        Self(router.clone())
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Parts of an answer, and at last how it ended.
 pub struct Answer {
     /// Parts in order.
@@ -30,7 +68,13 @@
     service: name::Name,
 }
 
-/// Runs a request until its answer begins.
+/// How an attempt began.
+enum Begun {
+    Answer(Answer),
+    Failed(run::RunOutcome),
+}
+
+/// Runs a request until its answer begins; it runs on when the future is dropped.
 ///
 /// # Errors
 ///
@@ -39,33 +83,61 @@
     router: &Arc<Router>,
     req: &request::Request,
 ) -> Result<Answer, request::Refusal> {
-    let arrived = router.runtime.timers.now();
+    let (tx, rx) = async_channel::bounded(1);
+    let (runtime, router, req) = (router.runtime.clone(), router.clone(), req.clone());
+    runtime.spawn(async move {
+        let _in_flight = InFlight::new(&router);
+        let _ = tx.send(carry_out(&router, &req).await).await;
+    });
+    rx.recv().await.unwrap_or_else(|_| {
+        let mut lost = request::Refusal::not_run(Code::Internal, "the request was lost");
+        lost.may_have_run = true;
+        Err(lost)
+    })
+}
+
+async fn carry_out(
+    router: &Arc<Router>,
+    req: &request::Request,
+) -> Result<Answer, request::Refusal> {
+    let deadline = router.runtime.timers.now() + req.deadline;
+    let solo = check_crashes(router, req)?;
     let reserved = billing::reserve(router, &req.budget, req.bound).await;
     reserved.map_err(|code| budget_refusal(code, req))?;
-    let mut tried = Vec::new();
-    let mut last = request::Refusal::not_run(Code::NoBackend, "no backend server is available");
-    for number in 0..ATTEMPTS {
-        let Some(target) = choose(router, req, &tried) else {
-            break;
-        };
-        tried.push(target.member.name.clone());
-        let left = req
-            .deadline
-            .saturating_sub(router.runtime.timers.now() - arrived);
-        let message = compose(router, req, &target, number, left);
-        let attempt = (router.fleet.run)(target.member.address.clone(), message);
-        match begin(router, req, target, attempt, left).await {
-            Ok(answer) => return Ok(answer),
-            Err(refusal) if refusal.may_have_run => return Err(refusal),
-            Err(refusal) => {
-                let reason = refusal.code.to_string();
-                counter!("fulmar_retries", "reason" => reason).increment(1);
-                last = refusal;
+    if req.must_claim() {
+        match claims::claim(router, req).await {
+            Claimed::New => {}
+            found => {
+                router.escrow.release(&req.budget, req.bound);
+                return claimed_before(router, req, found, deadline).await;
             }
         }
     }
-    router.escrow.release(&req.budget, req.bound);
-    Err(last)
+    let answer = dispatch(router, req, deadline, solo).await;
+    if let Err(refusal) = &answer
+        && req.must_claim()
+    {
+        match refusal.may_have_run {
+            true => claims::record(router, req, refusal.code),
+            false => claims::release(router, req),
+        }
+    }
+    answer
+}
+
+/// Refuses a request that was there at crashes; tells whether it must run alone.
+fn check_crashes(router: &Router, req: &request::Request) -> Result<bool, request::Refusal> {
+    let now = router.runtime.timers.now();
+    let verdict = router.crashes.lock().unwrap().verdict(req.fingerprint, now);
+    match verdict {
+        crashes::Verdict::Run => Ok(false),
+        crashes::Verdict::Solo => Ok(true),
+        crashes::Verdict::Refuse(left) => {
+            let message = "backend servers crashed while the same request ran";
+            let refusal = request::Refusal::not_run(Code::CrashSuspect, message);
+            Err(refusal.retry_after(left))
+        }
+    }
 }
 
 fn budget_refusal(code: Code, req: &request::Request) -> request::Refusal {
@@ -73,29 +145,172 @@
         "budget {:?} has no {} tokens to reserve",
         req.budget, req.bound
     );
-    request::Refusal::not_run(code, message)
+    let refusal = request::Refusal::not_run(code, message);
+    match code {
+        Code::BudgetUnreachable => refusal.retry_after(BUSY_RETRY),
+        _ => refusal,
+    }
+}
+
+/// Makes attempts until one begins to answer or another one would not be safe.
+async fn dispatch(
+    router: &Arc<Router>,
+    req: &request::Request,
+    deadline: timers::Now,
+    mut solo: bool,
+) -> Result<Answer, request::Refusal> {
+    let timers = &router.runtime.timers;
+    let pool = req.route.pools.first().cloned().unwrap_or_default();
+    router.retries.lock().unwrap().request(&pool);
+    let mut tried = Vec::new();
+    let mut number = 0;
+    loop {
+        let Some(target) = choose(router, req, &tried) else {
+            router.escrow.release(&req.budget, req.bound);
+            let refusal =
+                request::Refusal::not_run(Code::NoBackend, "no backend server is available");
+            return Err(refusal.retry_after(BUSY_RETRY));
+        };
+        tried.push(target.member.name.clone());
+        let left = deadline.saturating_sub(timers.now());
+        let message = compose(router, req, &target, number, left, solo);
+        let outcome = match begin(router, req, target, message, deadline).await {
+            Begun::Answer(answer) => return Ok(answer),
+            Begun::Failed(outcome) => outcome,
+        };
+        number += 1;
+        let again = may_retry(router, req, &pool, &outcome, number)
+            && await_turn(router, &outcome, number, deadline).await;
+        if !again {
+            if !outcome.ran {
+                router.escrow.release(&req.budget, req.bound);
+            }
+            return Err(refusal_of(&outcome));
+        }
+        let reason = outcome.code.to_string();
+        counter!("fulmar_retries", "reason" => reason).increment(1);
+        solo |= outcome.code == Code::BackendCrashed;
+        if outcome.ran {
+            let reserved = billing::reserve(router, &req.budget, req.bound).await;
+            reserved.map_err(|_| refusal_of(&outcome))?;
+        }
+    }
+}
+
+fn may_retry(
+    router: &Router,
+    req: &request::Request,
+    pool: &name::Name,
+    outcome: &run::RunOutcome,
+    number: u32,
+) -> bool {
+    let failure = retry::Failure {
+        code: outcome.code,
+        ran: outcome.ran,
+        over: outcome.receipt.is_some(),
+    };
+    number < retry::ATTEMPTS
+        && retry::is_safe(failure, req.idempotent)
+        && check_crashes(router, req).is_ok()
+        && router.retries.lock().unwrap().take(pool)
+}
+
+/// Waits before another attempt; false when it would begin past the deadline.
+async fn await_turn(
+    router: &Router,
+    outcome: &run::RunOutcome,
+    number: u32,
+    deadline: timers::Now,
+) -> bool {
+    let timers = &router.runtime.timers;
+    let newer = async {
+        while router.config().config.version < outcome.config {
+            timers.sleep(CONFIG_POLL).await;
+        }
+    };
+    if outcome.code == Code::StaleConfig && timers.within(CONFIG_LIMIT, newer).await.is_none() {
+        return false;
+    }
+    let pause = retry::backoff(number, &mut router.runtime.rng());
+    if timers.now() + pause >= deadline {
+        return false;
+    }
+    timers.sleep(pause).await;
+    true
+}
+
+/// The refusal that a caller sees of an outcome.
+pub fn refusal_of(outcome: &run::RunOutcome) -> request::Refusal {
+    let helps = matches!(
+        outcome.code,
+        Code::Overloaded
+            | Code::NoBackend
+            | Code::Draining
+            | Code::StaleConfig
+            | Code::WrongAgent
+            | Code::BackendRefused
+    );
+    request::Refusal {
+        code: outcome.code,
+        message: outcome.message.clone(),
+        may_have_run: outcome.ran || outcome.code >= Code::BackendFailed,
+        retry_after: helps.then(|| outcome.retry_after.max(BUSY_RETRY)),
+    }
 }
 
 fn choose(router: &Router, req: &request::Request, tried: &[name::Name]) -> Option<Target> {
     let now = router.runtime.timers.now();
     let mut roster = router.roster.lock().unwrap();
-    let candidates: Vec<_> = roster.available(&req.services, now).collect();
-    let zone = &router.member.zone;
-    let agent = balance::choose(&candidates, zone, tried, &mut router.runtime.rng())?;
+    let mut ejection = router.ejection.lock().unwrap();
+    let mut candidates: Vec<_> = roster.available(&req.services, now).collect();
+    let admitted: Vec<_> = candidates
+        .iter()
+        .filter(|agent| ejection.admits(&agent.member.name, now))
+        .copied()
+        .collect();
+    if !admitted.is_empty() {
+        candidates = admitted;
+    }
+    let wanted = balance::Wanted {
+        zone: &router.member.zone,
+        tried,
+        prefix: req.prefix,
+    };
+    let agent = match req.key.is_empty() {
+        true => balance::choose(&candidates, wanted, &mut router.runtime.rng())?,
+        false => home(&candidates, req, tried)?,
+    };
     let target = Target {
         member: agent.member.clone(),
         service: agent.service.clone(),
     };
+    ejection.probe(&target.member.name, now);
     roster.count(&target.member.name, 1);
     Some(target)
 }
 
+/// The agent where repeats of an idempotency key meet.
+fn home<'a>(
+    candidates: &[&'a roster::Agent],
+    req: &request::Request,
+    tried: &[name::Name],
+) -> Option<&'a roster::Agent> {
+    let hash = claim_rules::hash(&req.workspace, &req.key);
+    let names = candidates.iter().map(|agent| agent.member.name.clone());
+    let order = rendezvous::order(names.collect(), hash);
+    let untried = order.iter().find(|name| !tried.contains(name));
+    let chosen = untried.or(order.first())?;
+    let found = candidates.iter().find(|agent| agent.member.name == *chosen);
+    found.copied()
+}
+
 fn compose(
     router: &Router,
     req: &request::Request,
     target: &Target,
     attempt: u32,
     left: timers::Now,
+    solo: bool,
 ) -> run::RunRequest {
     run::RunRequest {
         id: req.id.clone(),
@@ -114,81 +329,218 @@
         key: req.key.clone(),
         fingerprint: req.fingerprint,
         body: req.body.clone(),
-        path: String::new(),
-        method: String::new(),
+        path: req.path.clone(),
+        method: req.method.clone(),
         stream: req.stream,
-        solo: false,
-        prefix: 0,
-        idempotent: req.route.idempotent,
+        solo,
+        prefix: req.prefix,
+        idempotent: req.idempotent,
     }
 }
 
-/// Waits for the first part of the answer; a refused attempt leaves the reservation as it is.
+/// Waits for the first part of the answer; an attempt that did not run leaves the reservation.
 async fn begin(
     router: &Arc<Router>,
     req: &request::Request,
     target: Target,
-    attempt: fleet::Attempt,
-    left: timers::Now,
-) -> Result<Answer, request::Refusal> {
-    let first = router
-        .runtime
-        .timers
-        .within(left, attempt.chunks.recv())
-        .await;
-    if let Some(Ok(first)) = first {
-        return Ok(relay(router.clone(), req, target, attempt, first));
-    }
-    drop(attempt.chunks);
-    let outcome = attempt.outcome.recv().await;
-    router.roster.lock().unwrap().count(&target.member.name, -1);
-    let outcome = outcome.unwrap_or_else(|_| fleet::lost("the attempt was lost"));
+    message: run::RunRequest,
+    deadline: timers::Now,
+) -> Begun {
+    let solo = message.solo;
+    let agent = target.member.clone();
+    let attempt = (router.fleet.run)(agent.address.clone(), message);
+    let mut pull = Pull::new(router.clone(), agent, req.id.clone(), attempt, deadline);
+    match pull.next().await {
+        Next::Chunk(first) => {
+            router
+                .ejection
+                .lock()
+                .unwrap()
+                .succeeded(&target.member.name);
+            Begun::Answer(relay(router.clone(), req, target, pull, first, solo))
+        }
+        Next::End(outcome) if outcome.code == Code::Ok => {
+            ended(router, req, &target, &outcome, solo);
+            settle(router, req, &target, &outcome);
+            Begun::Answer(empty(outcome))
+        }
+        Next::End(outcome) => {
+            ended(router, req, &target, &outcome, solo);
+            if outcome.ran {
+                settle(router, req, &target, &outcome);
+            }
+            Begun::Failed(outcome)
+        }
+    }
+}
+
+/// An answer with no bytes.
+fn empty(outcome: run::RunOutcome) -> Answer {
+    let (end_tx, end) = async_channel::bounded(1);
+    let _ = end_tx.try_send(outcome);
+    let (_, chunks) = async_channel::bounded(1);
+    Answer { chunks, end }
+}
+
+/// Notes what an ended attempt tells about its backend server and its request.
+fn ended(
+    router: &Arc<Router>,
+    req: &request::Request,
+    target: &Target,
+    outcome: &run::RunOutcome,
+    solo: bool,
+) {
+    let now = router.runtime.timers.now();
+    let agent = &target.member;
+    router.roster.lock().unwrap().count(&agent.name, -1);
     if outcome.code == Code::NoBackend {
-        router.roster.lock().unwrap().suspect(&target.member.name);
+        router.roster.lock().unwrap().suspect(&agent.name);
     }
-    if outcome.ran {
-        settle(router, req, &target, &outcome);
+    if matches!(
+        outcome.code,
+        Code::BackendFailed | Code::BackendRefused | Code::AgentLost | Code::BackendCrashed
+    ) {
+        router.ejection.lock().unwrap().failed(&agent.name, now);
+    }
+    let mut crashes = router.crashes.lock().unwrap();
+    match outcome.code {
+        Code::BackendCrashed if outcome.ran => {
+            crashes.crashed(agent.incarnation, req.fingerprint, now);
+        }
+        Code::Ok if solo && outcome.ran => crashes.clear(req.fingerprint, now),
+        _ => {}
+    }
+    drop(crashes);
+    if req.must_claim() && outcome.code == Code::Ok {
+        claims::record(router, req, Code::Ok);
     }
-    Err(request::Refusal {
-        code: outcome.code,
-        message: outcome.message,
-        may_have_run: outcome.ran,
-        retry_after: None,
-    })
 }
 
 fn relay(
     router: Arc<Router>,
     req: &request::Request,
     target: Target,
-    attempt: fleet::Attempt,
+    mut pull: Pull,
     first: Vec<u8>,
+    solo: bool,
 ) -> Answer {
     let (tx, chunks) = async_channel::bounded(CHUNKS_TO_CALLER);
     let (end_tx, end) = async_channel::bounded(1);
     let req = req.clone();
     let runtime = router.runtime.clone();
     runtime.spawn(async move {
-        let mut next = Some(first);
-        while let Some(chunk) = next {
-            if tx.send(chunk).await.is_err() {
-                break;
+        let _in_flight = InFlight::new(&router);
+        let mut next = Next::Chunk(first);
+        let outcome = loop {
+            let chunk = match next {
+                Next::Chunk(chunk) => chunk,
+                Next::End(outcome) => break outcome,
+            };
+            let sent = router.runtime.timers.within(CALLER_LIMIT, tx.send(chunk));
+            if !matches!(sent.await, Some(Ok(()))) {
+                break abandon(&req, &mut pull).await;
             }
-            next = attempt.chunks.recv().await.ok();
+            next = pull.next().await;
+        };
+        drop(tx);
+        ended(&router, &req, &target, &outcome, solo);
+        if req.must_claim() && outcome.code != Code::Ok {
+            claims::record(&router, &req, outcome.code);
         }
-        drop(attempt.chunks);
-        let outcome = attempt
-            .outcome
-            .recv()
-            .await
-            .unwrap_or_else(|_| fleet::lost("the attempt was lost"));
-        router.roster.lock().unwrap().count(&target.member.name, -1);
         settle(&router, &req, &target, &outcome);
         let _ = end_tx.send(outcome).await;
     });
     Answer { chunks, end }
 }
 
+/// Waits for the outcome of a request whose caller is gone; with a key, it may come back.
+async fn abandon(req: &request::Request, pull: &mut Pull) -> run::RunOutcome {
+    counter!("fulmar_callers_gone").increment(1);
+    if req.key.is_empty() {
+        pull.cancel();
+    }
+    pull.end().await
+}
+
+/// Answers a repeat of a claimed call: never by running it, but from a kept answer if there is one.
+async fn claimed_before(
+    router: &Arc<Router>,
+    req: &request::Request,
+    found: Claimed,
+    deadline: timers::Now,
+) -> Result<Answer, request::Refusal> {
+    let claim = match found {
+        Claimed::Before(claim) => claim,
+        Claimed::Refused(code) => return Err(claim_refusal(code, req)),
+        Claimed::New => unreachable!("a new claim is dispatched"),
+    };
+    let agent = {
+        let now = router.runtime.timers.now();
+        let roster = router.roster.lock().unwrap();
+        let known: Vec<_> = roster.available(&req.services, now).collect();
+        home(&known, req, &[]).map(|agent| agent.member.clone())
+    };
+    if let Some(agent) = agent {
+        let resume = messages::Resume {
+            agent: agent.incarnation,
+            id: claim.id.clone(),
+            offset: 0,
+            holder: router.member.incarnation,
+        };
+        let attempt = (router.fleet.resume)(agent.address.clone(), resume);
+        let mut pull = Pull::new(router.clone(), agent, claim.id.clone(), attempt, deadline);
+        match pull.next().await {
+            Next::Chunk(first) => return Ok(replay(router.clone(), pull, first)),
+            Next::End(outcome) if outcome.code == Code::Ok => return Ok(empty(outcome)),
+            Next::End(_) => {}
+        }
+    }
+    let known = claim.outcome.and_then(Code::from_number);
+    let outcome = known.map_or("is not known".to_owned(), |code| format!("was {code}"));
+    let message = format!("the call was claimed before and its outcome {outcome}");
+    let mut refusal = request::Refusal::not_run(Code::AlreadyClaimed, message);
+    refusal.may_have_run = true;
+    Err(refusal)
+}
+
+fn claim_refusal(code: Code, req: &request::Request) -> request::Refusal {
+    let message = match code {
+        Code::KeyReused => format!("key {:?} came with another body", req.key),
+        Code::KeyExpired => format!("key {:?} is past its retention", req.key),
+        _ => "the call could not be claimed in the store".to_owned(),
+    };
+    let mut refusal = request::Refusal::not_run(code, message);
+    refusal.may_have_run = code == Code::KeyExpired;
+    match code {
+        Code::ClaimUnavailable => refusal.retry_after(BUSY_RETRY),
+        _ => refusal,
+    }
+}
+
+/// Sends a kept answer again; it costs nothing.
+fn replay(router: Arc<Router>, mut pull: Pull, first: Vec<u8>) -> Answer {
+    let (tx, chunks) = async_channel::bounded(CHUNKS_TO_CALLER);
+    let (end_tx, end) = async_channel::bounded(1);
+    let runtime = router.runtime.clone();
+    runtime.spawn(async move {
+        let _in_flight = InFlight::new(&router);
+        let mut next = Next::Chunk(first);
+        let outcome = loop {
+            let chunk = match next {
+                Next::Chunk(chunk) => chunk,
+                Next::End(outcome) => break outcome,
+            };
+            if tx.send(chunk).await.is_err() {
+                return;
+            }
+            next = pull.next().await;
+        };
+        drop(tx);
+        let _ = end_tx.send(outcome).await;
+    });
+    Answer { chunks, end }
+}
+
 /// Counts the charge of an attempt; without a receipt the reservation stays.
 fn settle(router: &Router, req: &request::Request, target: &Target, outcome: &run::RunOutcome) {
     if let Some(receipt) = &outcome.receipt {
--- a/src/router/front.rs
+++ b/src/router/front.rs
@@ -1,9 +1,6 @@
 //! The listener for callers.
 
-use std::{
-    net::TcpListener,
-    sync::{Arc, atomic::Ordering},
-};
+use std::{net::TcpListener, sync::Arc};
 
 use futures::{TryStreamExt, stream};
 use metrics::counter;
@@ -30,16 +27,18 @@
 }
 
 async fn serve(router: &Arc<Router>, mut conn: Conn) -> Conn {
-    router.in_flight.fetch_add(1, Ordering::Relaxed);
-    let answered = answer(router, &mut conn).await;
-    router.in_flight.fetch_sub(1, Ordering::Relaxed);
-    match answered {
-        Ok(body) => conn.ok(body),
+    let in_flight = exchange::InFlight::new(router);
+    match answer(router, &mut conn, in_flight).await {
+        Ok((status, body)) => conn.with_status(status).with_body(body).halt(),
         Err(refusal) => refuse(conn, &refusal),
     }
 }
 
-async fn answer(router: &Arc<Router>, conn: &mut Conn) -> Result<Body, request::Refusal> {
+async fn answer(
+    router: &Arc<Router>,
+    conn: &mut Conn,
+    in_flight: exchange::InFlight,
+) -> Result<(Status, Body), request::Refusal> {
     let headers = conn.request_headers();
     let mut ask = ask::Ask {
         authorization: headers
@@ -58,49 +57,52 @@
     conn.insert_response_header("x-request-id", req.id.to_string());
     if req.stream {
         conn.insert_response_header(KnownHeaderName::ContentType, "text/event-stream");
-        return Ok(streamed(answer));
+        return Ok((Status::Ok, streamed(answer, in_flight)));
+    }
+    if req.must_claim() {
+        conn.insert_response_header("idempotency-key", req.key.to_string());
     }
     conn.insert_response_header(KnownHeaderName::ContentType, "application/json");
     whole(answer).await
 }
 
 /// Collects a whole answer.
-async fn whole(answer: exchange::Answer) -> Result<Body, request::Refusal> {
+async fn whole(answer: exchange::Answer) -> Result<(Status, Body), request::Refusal> {
     let mut bytes = Vec::new();
     while let Ok(chunk) = answer.chunks.recv().await {
         bytes.extend_from_slice(&chunk);
     }
-    let end = answer.end.recv().await;
-    match end {
-        Ok(end) if is_whole(&end, bytes.len() as u64) => Ok(bytes.into()),
-        Ok(end) => Err(request::Refusal {
-            code: end.code,
-            message: end.message,
-            may_have_run: true,
-            retry_after: None,
-        }),
-        Err(_) => Err(request::Refusal {
-            code: Code::Internal,
-            message: "the answer was lost".to_owned(),
-            may_have_run: true,
-            retry_after: None,
-        }),
+    match answer.end.recv().await {
+        Ok(end) if is_whole(&end, bytes.len() as u64) => {
+            let status = Status::try_from(end.status).unwrap_or(Status::Ok);
+            Ok((status, bytes.into()))
+        }
+        Ok(end) if end.code == Code::Ok => Err(cut_short()),
+        Ok(end) => Err(exchange::refusal_of(&end)),
+        Err(_) => Err(cut_short()),
     }
 }
 
+fn cut_short() -> request::Refusal {
+    let mut refusal = request::Refusal::not_run(Code::Internal, "the answer was lost");
+    refusal.may_have_run = true;
+    refusal
+}
+
 fn is_whole(end: &run::RunOutcome, sent: u64) -> bool {
     end.code == Code::Ok && end.length == sent
 }
 
 /// Streams an answer; one that is not whole ends in an error event and a broken connection.
-fn streamed(answer: exchange::Answer) -> Body {
+fn streamed(answer: exchange::Answer, in_flight: exchange::InFlight) -> Body {
     enum Step {
         Chunks(exchange::Answer, u64),
         Broken,
         Ended,
     }
-    let parts = stream::unfold(Step::Chunks(answer, 0), |step| async move {
-        match step {
+    let start = (Step::Chunks(answer, 0), in_flight);
+    let parts = stream::unfold(start, |(step, in_flight)| async move {
+        let next = match step {
             Step::Chunks(answer, sent) => match answer.chunks.recv().await {
                 Ok(chunk) => {
                     let sent = sent + chunk.len() as u64;
@@ -114,7 +116,8 @@
             },
             Step::Broken => Some((Err(broken()), Step::Ended)),
             Step::Ended => None,
-        }
+        };
+        next.map(|(part, step)| (part, (step, in_flight)))
     });
     Body::new_streaming(Box::pin(parts).into_async_read(), None)
 }
@@ -147,7 +150,10 @@
     let mut conn = conn.with_status(status).with_body(body.to_string());
     conn.insert_response_header(KnownHeaderName::ContentType, "application/json");
     if let Some(delay) = refusal.retry_after {
-        conn.insert_response_header(KnownHeaderName::RetryAfter, delay.as_secs().to_string());
+        conn.insert_response_header(
+            KnownHeaderName::RetryAfter,
+            delay.as_secs().max(1).to_string(),
+        );
     }
     conn
 }
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -9,7 +9,7 @@
     coordination::publish,
     protocol::chat,
     router::{ask, follow},
-    state::{name, route},
+    state::{name, object_set, route},
 };
 
 /// A request that may run.
@@ -37,6 +37,21 @@
     pub fingerprint: u64,
     /// Time from arrival to the deadline.
     pub deadline: Duration,
+    /// Path and query of a plain service call; empty for a model call.
+    pub path: String,
+    /// Method of a plain service call.
+    pub method: String,
+    /// Whether the call may be run again after an unclear failure.
+    pub idempotent: bool,
+    /// Hash of the prompt's prefix; zero when unknown.
+    pub prefix: u64,
+}
+
+impl Request {
+    /// Whether the call must be claimed before it is dispatched.
+    pub fn must_claim(&self) -> bool {
+        !self.idempotent
+    }
 }
 
 /// Why a request is refused before it is dispatched.
@@ -62,6 +77,12 @@
             retry_after: None,
         }
     }
+
+    /// Tells the caller when to come back.
+    pub fn retry_after(mut self, delay: Duration) -> Self {
+        self.retry_after = Some(delay);
+        self
+    }
 }
 
 /// Finds the workspace of a caller key.
@@ -86,6 +107,12 @@
 /// Path of the chat completions API.
 pub const CHAT_PATH: &str = "/v1/chat/completions";
 
+/// Longest idempotency key, in bytes.
+pub const KEY_BYTES: usize = 256;
+
+/// Bytes of the prompt whose hash leads to a backend server that may have them cached.
+const PREFIX_BYTES: usize = 1024;
+
 /// Reads and checks a question.
 ///
 /// # Errors
@@ -97,17 +124,96 @@
     ask: &ask::Ask,
     id: u128,
 ) -> Result<Request, Refusal> {
-    if ask.method != "POST" || ask.path != CHAT_PATH {
+    let key = ask.key.as_deref().unwrap_or_default();
+    if key.len() > KEY_BYTES {
+        let message = format!("the idempotency key is longer than {KEY_BYTES} bytes");
+        return Err(Refusal::not_run(Code::BadRequest, message));
+    }
+    if ask.method == "POST" && ask.path == CHAT_PATH {
+        return read_chat(in_force, workspace, key, &ask.body, id);
+    }
+    read_plain(in_force, workspace, ask, key, id)
+}
+
+fn fingerprint(workspace: &str, parts: &[&[u8]]) -> u64 {
+    let seed = xxh3::xxh3_64(workspace.as_bytes());
+    let add = |seed, part: &&[u8]| xxh3::xxh3_64_with_seed(part, seed);
+    parts.iter().fold(seed, add)
+}
+
+/// Whether a path lies below a route's prefix.
+fn is_below(path: &str, prefix: &str) -> bool {
+    let rest = path.strip_prefix(prefix.trim_end_matches('/'));
+    !prefix.is_empty() && rest.is_some_and(|rest| rest.is_empty() || rest.starts_with(['/', '?']))
+}
+
+fn read_plain(
+    in_force: &follow::InForce,
+    workspace: &name::Name,
+    ask: &ask::Ask,
+    key: &str,
+    id: u128,
+) -> Result<Request, Refusal> {
+    let set = &in_force.config.set;
+    let object = &set.workspaces[workspace];
+    let open = object.routes.iter().filter_map(|name| set.routes.get(name));
+    let below = open.filter(|route| is_below(&ask.path, &route.path));
+    let Some(route) = below.max_by_key(|route| route.path.len()) else {
         let message = format!("{} {} is not served", ask.method, ask.path);
         return Err(Refusal::not_run(Code::UnknownRoute, message));
+    };
+    let id = format!("req-{id:032x}");
+    let safe = matches!(ask.method.as_str(), "GET" | "HEAD" | "OPTIONS");
+    let idempotent = route.idempotent || safe;
+    let given = if key.is_empty() && !idempotent {
+        &id
+    } else {
+        key
+    };
+    let parts = [ask.method.as_bytes(), ask.path.as_bytes(), &ask.body];
+    Ok(Request {
+        workspace: workspace.clone(),
+        budget: object.budget.clone(),
+        services: services_of(set, route),
+        bound: route.call_tokens,
+        body: ask.body.clone(),
+        stream: false,
+        key: given.into(),
+        fingerprint: fingerprint(workspace, &parts),
+        deadline: Duration::from_secs(route.deadline_seconds),
+        route: route.clone(),
+        path: ask.path.clone(),
+        method: ask.method.clone(),
+        idempotent,
+        prefix: 0,
+        id: id.into(),
+    })
+}
+
+fn services_of(set: &object_set::ObjectSet, route: &route::Route) -> Vec<name::Name> {
+    let pools = route.pools.iter().filter_map(|pool| set.pools.get(pool));
+    pools
+        .flat_map(|pool| pool.services.iter().cloned())
+        .collect()
+}
+
+/// Hash of the model and the beginning of the prompt.
+fn prefix_of(model: &str, chat: &chat::ChatRequest) -> u64 {
+    let mut hash = xxh3::xxh3_64(model.as_bytes());
+    let mut left = PREFIX_BYTES;
+    for message in &chat.messages {
+        let text = message.content.as_str().unwrap_or_default().as_bytes();
+        let part = &text[..text.len().min(left)];
+        hash = xxh3::xxh3_64_with_seed(part, hash);
+        left -= part.len();
     }
-    read_chat(in_force, workspace, ask.key.as_deref(), &ask.body, id)
+    if left == 0 { hash } else { 0 }
 }
 
 fn read_chat(
     in_force: &follow::InForce,
     workspace: &name::Name,
-    key: Option<&str>,
+    key: &str,
     body: &[u8],
     id: u128,
 ) -> Result<Request, Refusal> {
@@ -135,20 +241,21 @@
     if chat.stream {
         value["stream_options"] = serde_json::json!({ "include_usage": true });
     }
-    let pools = route.pools.iter().filter_map(|pool| set.pools.get(pool));
     Ok(Request {
         id: format!("req-{:032x}", id).into(),
         workspace: workspace.clone(),
         budget: object.budget.clone(),
-        services: pools
-            .flat_map(|pool| pool.services.iter().cloned())
-            .collect(),
+        services: services_of(set, route),
         bound: chat.prompt_bound() + limit,
         body: value.to_string().into_bytes(),
         stream: chat.stream,
-        key: key.unwrap_or_default().into(),
-        fingerprint: xxh3::xxh3_64_with_seed(body, xxh3::xxh3_64(workspace.as_bytes())),
+        key: key.into(),
+        fingerprint: fingerprint(workspace, &[body]),
         deadline: Duration::from_secs(route.deadline_seconds),
         route: route.clone(),
+        path: String::new(),
+        method: String::new(),
+        idempotent: route.idempotent,
+        prefix: prefix_of(&route.model, &chat),
     })
 }
--- a/src/transport/agent_rpc.rs
+++ b/src/transport/agent_rpc.rs
@@ -1,6 +1,6 @@
 //! Calls to agents over RPC, from both ends.
 
-use std::{cell::Cell, rc::Rc, sync::Arc};
+use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
 
 use capnp_rpc::new_client;
 use futures::future::BoxFuture;
@@ -9,9 +9,12 @@
     error,
     protocol::{fleet_capnp, messages, run, wire},
     state::name,
-    transport::fleet,
+    transport::{fleet, timers},
 };
 
+/// Longest time that a router may take for the next part of an answer.
+const SINK_LIMIT: Duration = Duration::from_secs(35);
+
 type Chunks = async_channel::Sender<Vec<u8>>;
 
 /// What an agent does with calls.
@@ -197,12 +200,14 @@
     sink: fleet_capnp::sink::Client,
     mut offset: u64,
 ) {
+    let timers = timers::Timers::default();
     while let Ok(data) = chunks.recv().await {
         let mut message = sink.chunk_request();
         message.get().set_offset(offset);
         message.get().set_data(&data);
         offset += data.len() as u64;
-        if message.send().promise.await.is_err() {
+        let taken = timers.within(SINK_LIMIT, message.send().promise).await;
+        if !matches!(taken, Some(Ok(_))) {
             return;
         }
     }
--- a/src/transport/fleet_link.rs
+++ b/src/transport/fleet_link.rs
@@ -3,12 +3,12 @@
 use std::{sync::Arc, time::Duration};
 
 use async_net::{TcpListener, TcpStream};
-use capnp::capability::{Client, FromClientHook};
+use capnp::capability::Client;
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
 use futures::{AsyncReadExt, io};
 
 use crate::{
-    error,
+    error, fleet_capnp,
     transport::{handshake, timers, workers},
 };
 
@@ -84,18 +84,19 @@
     Ok(())
 }
 
-/// Connects to a member and returns its capability; must be called on a worker.
+/// Connects to a member; returns its capability and the work that carries the connection.
+///
+/// Must be called on a worker.
 ///
 /// # Errors
 ///
 /// [`error::Error::Io`] when the address cannot be reached within 2 s,
 /// [`error::Error::Handshake`] when it does not hold the key.
-pub async fn connect<C: FromClientHook>(
+pub async fn connect(
     address: &str,
     key: &[u8],
-    local: &workers::Local,
     timers: &timers::Timers,
-) -> Result<C, error::Error> {
+) -> Result<(Client, impl Future<Output = ()> + 'static), error::Error> {
     let dialled = timers
         .within(CONNECT_LIMIT, TcpStream::connect(address))
         .await;
@@ -103,14 +104,12 @@
     stream.set_nodelay(true)?;
     handshake::dial(&mut stream, key, address, timers).await?;
     let mut system = RpcSystem::new(network(stream, Side::Client), None);
-    let client = system.bootstrap(Side::Server);
+    let client: fleet_capnp::agent::Client = system.bootstrap(Side::Server);
     let address = address.to_owned();
-    local
-        .spawn(async move {
-            if let Err(err) = system.await {
-                tracing::debug!("link: connection to {address} ended: {err}.");
-            }
-        })
-        .detach();
-    Ok(client)
+    let carry = async move {
+        if let Err(err) = system.await {
+            tracing::debug!("link: connection to {address} ended: {err}.");
+        }
+    };
+    Ok((client.client, carry))
 }
