--- a/examples/capacity/fit.rs
+++ b/examples/capacity/fit.rs
@@ -31,9 +31,4 @@
             },
         }
     }
-
-    /// Value of the line.
-    pub fn at(&self, x: f64) -> f64 {
-        self.base + self.slope * x
-    }
 }
--- a/examples/capacity/measure.rs
+++ b/examples/capacity/measure.rs
@@ -200,7 +200,7 @@
             "reserve and release by budgets",
             "microseconds",
             &[1, 100, 1_000, 10_000],
-            |n| reserve_and_release(n),
+            reserve_and_release,
         ),
     ]
 }
--- a/examples/capacity/sample.rs
+++ b/examples/capacity/sample.rs
@@ -84,6 +84,7 @@
         state: holder_record::HolderState::Live,
         budgets: (0..budgets).map(figures).collect(),
         covered: (1..=agents).map(covered).collect(),
+        resolved: Default::default(),
     }
 }
 
@@ -108,6 +109,7 @@
     };
     ledger::Bucket {
         entries: (0..budgets).map(entry).collect(),
+        done: Default::default(),
     }
 }
 
--- a/src/agent/beats.rs
+++ b/src/agent/beats.rs
@@ -92,7 +92,7 @@
         load: agent.load(),
         versions: agent.versions(),
         models: agent.orders.models(),
-        crashes: Vec::new(),
+        crashes: agent.crashes.report(agent.runtime.timers.now()),
         prefixes: Vec::new(),
     });
     let timers = &agent.runtime.timers;
--- a/src/load/exchange.rs
+++ b/src/load/exchange.rs
@@ -126,7 +126,9 @@
             outcome.first_token = None;
             outcome.gaps.clear();
             let attempt = self.attempt(&mut outcome, number);
-            let attempt = timers::within(self.options.timeout, attempt).await;
+            let attempt = timers::Timers::default()
+                .within(self.options.timeout, attempt)
+                .await;
             let attempt = attempt.unwrap_or_else(Attempt::failed);
             let pause = attempt.retry_after;
             let repeat = attempt.may_repeat() && number < self.options.retries;
--- a/src/router/gossip.rs
+++ b/src/router/gossip.rs
@@ -58,6 +58,9 @@
     }
 }
 
+/// Most crashes that one message tells of.
+const CRASHES_TOLD: usize = 64;
+
 /// Starts the exchanges.
 pub fn start(router: Arc<Router>) {
     let runtime = router.runtime.clone();
@@ -200,7 +203,7 @@
             fences: fences.revision,
         },
         seen: seen.collect(),
-        crashes: Vec::new(),
+        crashes: router.crashes.lock().unwrap().export(now, CRASHES_TOLD),
         fenced,
     }
 }
@@ -240,6 +243,9 @@
         let mut fences = router.fences.lock().unwrap();
         fences.merge(theirs.versions.fences, theirs.fenced);
     }
+    for crash in theirs.crashes {
+        router.crashes.lock().unwrap().merge(crash, now);
+    }
     remember(router, theirs.member, theirs.versions.fences, now);
     for seen in theirs.seen {
         take_seen(router, seen, now);
--- a/tests/layout.rs
+++ b/tests/layout.rs
@@ -53,7 +53,7 @@
                 c if (c.is_alphanumeric() || c == '_') && depth == 1 => word.push(c),
                 _ => {}
             }
-            if !(c.is_alphanumeric() || c == '_') && !word.is_empty() {
+            if !(c.is_alphanumeric() || c == '_' || word.is_empty()) {
                 used.push(std::mem::take(&mut word));
             }
             if depth == 0 {
@@ -131,7 +131,7 @@
     }
     let rows = page
         .lines()
-        .filter(|line| line.starts_with(|c: char| c == '|') && line.contains("` | "));
+        .filter(|line| line.starts_with('|') && line.contains("` | "));
     assert_eq!(
         rows.count(),
         Code::ALL.len(),
