Tell the bound addresses and let tests use any free port

Cause: one of three path tests failed in a full run: two fleets of one test process wrote the same key file, and a daemon read it while it was empty. Ruled out: the routers, which never started. Change: a key file for each fleet; daemons bind port 0 and print the addresses they got, so no port is chosen before it is bound.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -191,6 +191,7 @@
     let listener = TcpListener::bind(settings.fleet_listen)?;
     let admin_listener = TcpListener::bind(settings.admin_listen)?;
     let address: name::Name = listener.local_addr()?.to_string().into();
+    let admin_at = admin_listener.local_addr()?;
     let workers = workers::Workers::start("fleet", settings.workers)?;
     let key: fleet_link::FleetKey = settings.fleet_key.clone().into();
     let runtime = runtime::Runtime::default();
@@ -220,6 +221,10 @@
     let listener = fleet_link::adopt(listener)?;
     let accepting = smol::spawn(fleet_link::serve(listener, key, workers, offer));
     agent.start();
+    println!(
+        "Listening: fleet {}, admin {admin_at}.",
+        agent.member.address
+    );
     tracing::info!(
         "agent: {} serves {}.",
         agent.member.name,
--- a/src/router.rs
+++ b/src/router.rs
@@ -198,6 +198,7 @@
     let listener = TcpListener::bind(settings.fleet_listen)?;
     let admin_listener = TcpListener::bind(settings.admin_listen)?;
     let address: name::Name = listener.local_addr()?.to_string().into();
+    let (callers_at, admin_at) = (callers.local_addr()?, admin_listener.local_addr()?);
     let workers = workers::Workers::start("fleet", settings.workers)?;
     let key: fleet_link::FleetKey = settings.fleet_key.clone().into();
     let runtime = runtime::Runtime::default();
@@ -232,6 +233,10 @@
     let accepting = smol::spawn(fleet_link::serve(listener, key, workers, offer));
     router.start();
     let front = front::start(router.clone(), callers)?;
+    println!(
+        "Listening: callers {callers_at}, fleet {}, admin {admin_at}.",
+        router.member.address
+    );
     tracing::info!("router: {} takes requests.", router.member.name);
 
     stop.await;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -59,6 +59,18 @@
     listener.local_addr().unwrap().to_string()
 }
 
+/// Address that lets the system choose a port.
+const ANY_PORT: &str = "127.0.0.1:0";
+
+/// Reads the line in which a process tells its addresses.
+fn first_line(child: &mut Child) -> String {
+    let mut line = String::new();
+    let stdout = child.stdout.take().unwrap();
+    BufReader::new(stdout).read_line(&mut line).unwrap();
+    assert!(line.starts_with("Listening"), "the process did not start");
+    line
+}
+
 fn binary(name: &str) -> Command {
     let path = match name {
         "fulmard" => env!("CARGO_BIN_EXE_fulmard"),
@@ -75,10 +87,7 @@
         .stdout(Stdio::piped())
         .spawn()
         .unwrap();
-    let mut line = String::new();
-    BufReader::new(child.stdout.take().unwrap())
-        .read_line(&mut line)
-        .unwrap();
+    let line = first_line(&mut child);
     let address = line
         .trim_start_matches("Listening on ")
         .trim_end_matches(".\n")
@@ -95,7 +104,11 @@
 impl Fleet {
     /// Starts the platform's stand-in with an example's objects published.
     pub fn start(example: &str) -> Self {
-        let key_file = std::env::temp_dir().join(format!("fulmar-{}.key", std::process::id()));
+        let key_file = std::env::temp_dir().join(format!(
+            "fulmar-{}-{}.key",
+            std::process::id(),
+            fastrand::u64(..)
+        ));
         std::fs::write(&key_file, "a key for tests only").unwrap();
         let fleet = Self {
             platform: standin(&["platform"]),
@@ -136,31 +149,35 @@
     }
 
     pub fn daemon(&self, role: &str, name: &str, zone: &str, extra: &[&str]) -> Process {
-        let [listen, fleet, admin] = [free_address(), free_address(), free_address()];
         let mut command = binary("fulmard");
         command.args([role, "--name", name, "--region", "r", "--zone", zone]);
-        command.args([
-            "--fleet-listen",
-            &fleet,
-            "--admin-listen",
-            &admin,
-            "--log",
-            "debug",
-        ]);
+        command.args(["--fleet-listen", ANY_PORT, "--admin-listen", ANY_PORT]);
+        command.args(["--log", "debug"]).stdout(Stdio::piped());
         command.args(["--fleet-key-file", self.key_file.to_str().unwrap()]);
         command
             .args(["--vms", &self.platform_url("/vms")])
             .args(extra);
         if role == "router" {
-            command.args(["--listen", &listen, "--store", &self.platform_url("")]);
+            command.args(["--listen", ANY_PORT, "--store", &self.platform_url("")]);
         }
-        let child = command.spawn().unwrap();
+        let mut child = command.spawn().unwrap();
+        let line = first_line(&mut child);
+        let address = |what: &str| {
+            let after = line.split(&format!("{what} ")).nth(1).unwrap_or_default();
+            after
+                .split([',', ' '])
+                .next()
+                .unwrap()
+                .trim()
+                .trim_end_matches('.')
+                .to_owned()
+        };
         Process {
-            child,
             name: name.to_owned(),
-            address: listen,
-            admin,
-            fleet,
+            address: address("callers"),
+            admin: address("admin"),
+            fleet: address("fleet"),
+            child,
         }
     }
 
