--- a/examples/bench/scenarios.rs
+++ b/examples/bench/scenarios.rs
@@ -45,8 +45,11 @@
         let mut args = vec!["--targets", &targets, "--engines", &engines];
         args.extend(["--store", &self.fleet.platform.url]);
         args.extend(["--rate", &rate, "--seconds", &seconds, "--seed", &seed]);
-        args.extend(["--keys", "bench-key", "--threads", "2"]);
+        args.extend(["--threads", "2"]);
         args.extend(extra);
+        if !extra.contains(&"--keys") {
+            args.extend(["--keys", "bench-key"]);
+        }
         load(&args)
     }
 }
--- a/src/load/report.rs
+++ b/src/load/report.rs
@@ -55,13 +55,13 @@
     /// Attempts that were repeated.
     pub repeats: u64,
     /// Latency of whole answers in milliseconds.
-    pub latency_ms: Quantiles,
+    pub latency_ms: Option<Quantiles>,
     /// Time to the first token in milliseconds.
-    pub first_token_ms: Quantiles,
+    pub first_token_ms: Option<Quantiles>,
     /// Time between tokens in milliseconds.
-    pub between_tokens_ms: Quantiles,
+    pub between_tokens_ms: Option<Quantiles>,
     /// How late requests were sent in milliseconds.
-    pub lateness_ms: Quantiles,
+    pub lateness_ms: Option<Quantiles>,
     /// Tokens of whole answers a second.
     pub tokens_per_second: f64,
     /// Whole answers within the deadline a second.
@@ -138,12 +138,12 @@
     pub accounts: Option<Accounts>,
 }
 
-fn quantiles(times: &tally::Times) -> Quantiles {
-    Quantiles {
+fn quantiles(times: &tally::Times) -> Option<Quantiles> {
+    (!times.is_empty()).then(|| Quantiles {
         p50: times.millis(0.5),
         p95: times.millis(0.95),
         p99: times.millis(0.99),
-    }
+    })
 }
 
 fn refusal_count((refusal, count): (&exchange::Refusal, &u64)) -> RefusalCount {
@@ -176,14 +176,14 @@
     })
 }
 
-fn added(fleet: &Side, engine: &Side) -> Added {
-    let (fleet, engine) = (fleet.latency_ms, engine.latency_ms);
-    Added {
+fn added(fleet: &Side, engine: &Side) -> Option<Added> {
+    let (fleet, engine) = (fleet.latency_ms?, engine.latency_ms?);
+    Some(Added {
         p50_ms: fleet.p50 - engine.p50,
         p99_ms: fleet.p99 - engine.p99,
         p50_ratio: fleet.p50 / engine.p50,
         p99_ratio: fleet.p99 / engine.p99,
-    }
+    })
 }
 
 /// What was read before and after a load.
@@ -204,7 +204,7 @@
     let fleet = side(&tally.fleet, seconds);
     let engine = side(&tally.engine, seconds);
     let added = match (&fleet, &engine) {
-        (Some(fleet), Some(engine)) => Some(added(fleet, engine)),
+        (Some(fleet), Some(engine)) => added(fleet, engine),
         _ => None,
     };
     let accounts = readings.map(|readings| account(tally, readings));
@@ -334,7 +334,10 @@
             ("between tokens", self.between_tokens_ms),
             ("sent late", self.lateness_ms),
         ];
-        for (name, Quantiles { p50, p95, p99 }) in rows {
+        for (name, quantiles) in rows {
+            let Some(Quantiles { p50, p95, p99 }) = quantiles else {
+                continue;
+            };
             let _ = writeln!(
                 text,
                 "  {name:<15} p50 {p50:>9.3}  p95 {p95:>9.3}  p99 {p99:>9.3} ms"
--- a/src/load/tally.rs
+++ b/src/load/tally.rs
@@ -33,6 +33,15 @@
         self.0.saturating_record(time.as_micros() as u64);
     }
 
+    /// Whether no duration was recorded.
+    ///
+    /// ```
+    /// assert!(fulmarproxy::load::tally::Times::default().is_empty());
+    /// ```
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     /// Quantile in milliseconds, from 0 to 1.
     ///
     /// ```
