--- a/src/load/accounts.rs
+++ b/src/load/accounts.rs
@@ -87,7 +87,7 @@
 ///
 /// [`error::Error::Store`] when the store cannot be reached.
 pub async fn read_budgets(url: &str) -> Result<Budgets, error::Error> {
-    let store = store::Store::new(url);
+    let store = store::Store::over_http(url);
     let mut budgets = Budgets::default();
     if let Some(head) = store.get(store::HEAD_KEY).await? {
         let head: config::Head = kv::decode(&head)?;
--- a/src/load/exchange.rs
+++ b/src/load/exchange.rs
@@ -78,6 +78,8 @@
     pub options: options::Options,
     /// Client.
     pub client: Client,
+    /// Clock that ends exchanges.
+    pub timers: timers::Timers,
     /// Start of the load.
     pub start: Instant,
 }
@@ -126,7 +128,7 @@
             outcome.first_token = None;
             outcome.gaps.clear();
             let attempt = self.attempt(&mut outcome, number);
-            let attempt = timers::within(self.options.timeout, attempt).await;
+            let attempt = self.timers.within(self.options.timeout, attempt).await;
             let attempt = attempt.unwrap_or_else(Attempt::failed);
             let pause = attempt.retry_after;
             let repeat = attempt.may_repeat() && number < self.options.retries;
--- a/src/load/runner.rs
+++ b/src/load/runner.rs
@@ -9,7 +9,7 @@
 use crate::{
     error,
     load::{accounts, exchange, options, plan, report, tally},
-    transport::http,
+    transport::{http, timers},
 };
 
 const ACCOUNT_LIMIT: Duration = Duration::from_secs(10);
@@ -78,6 +78,7 @@
     let sender = Arc::new(exchange::Sender {
         options: options.clone(),
         client: http::streaming_client(),
+        timers: timers::Timers::default(),
         start,
     });
     let (done, all_done) = async_channel::bounded::<()>(1);
--- a/tests/load.rs
+++ b/tests/load.rs
@@ -122,7 +122,7 @@
 fn store_with_bills(spent: u64) -> String {
     let (listener, url) = bind();
     drop(platform::start(listener, 100).unwrap());
-    let store = store::Store::new(&url);
+    let store = store::Store::over_http(&url);
     let chunk = json!({
         "workspaces": { "desk": {
             "name": "desk", "budget": "desk", "routes": [], "weight": 1,
--- a/tests/publishing.rs
+++ b/tests/publishing.rs
@@ -133,10 +133,7 @@
     let results: Vec<_> = racers.into_iter().map(|r| r.join().unwrap()).collect();
     let won = results.iter().filter(|result| matches!(result, Ok(2)));
     assert_eq!(won.count(), 1, "{results:?}");
-    let (code, text) = tool(
-        &fleet,
-        &["publish", "examples/haugland", "--expect", "1"],
-    );
+    let (code, text) = tool(&fleet, &["publish", "examples/haugland", "--expect", "1"]);
     assert_eq!(code, i32::from(ctl::EXIT_CONFLICT), "{text}");
     assert!(text.contains("budget fjordforlaget"), "{text}");
 }
--- a/tests/standins.rs
+++ b/tests/standins.rs
@@ -268,7 +268,7 @@
 #[test]
 fn each_fault_of_the_store_shows() {
     let url = platform(10);
-    let store = store::Store::new(&url);
+    let store = store::Store::over_http(&url);
     let fault = |faults: Value| assert_eq!(send(&format!("{url}/faults"), &faults), 200);
     let first = block_on(store.put_if("k", &1, 0, 0)).unwrap();
     let store::Put::Written(revision) = first else {
@@ -334,7 +334,7 @@
     let url = platform(2);
     let faults = format!("{url}/faults");
     send(&faults, &json!({ "mute_watches": true }));
-    let store = store::Store::new(&url);
+    let store = store::Store::over_http(&url);
     let mut revision = 0;
     for value in 0..4 {
         let put = block_on(store.put_if("k", &value, revision, 0)).unwrap();
