Add the operators' commands, caps before cuts, resolved publications and a control measurement

Cause: a lost answer left open whether a set was published, a cut could come under what routers hold, and the control plane's cost had not been measured. Change: the head keeps earlier publication ids and its write is repeated until it is known whose version it is; cuts place a cap first; unused chunks are collected; fulmarctl shows status, budgets, differences and orders.

--- a/src/coordination.rs
+++ b/src/coordination.rs
@@ -9,6 +9,7 @@
 pub mod covered;
 pub mod crashes;
 pub mod demand;
+pub mod difference;
 pub mod draw;
 pub mod ejection;
 pub mod escrow;
--- a/src/coordination/check.rs
+++ b/src/coordination/check.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::state::{name, object_set, pool};
+use crate::state::{name, object_set, pool, route};
 
 /// Where an object stands in the operator's files.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -124,6 +124,19 @@
         self.find(place, message);
     }
 
+    /// Finds totals below what the ledger has granted and counted as spent.
+    pub fn compare(&mut self, committed: &BTreeMap<name::Name, i128>) {
+        let below = self.set.budgets.values().filter_map(|budget| {
+            let least = committed.get(&budget.name)?;
+            let below = i128::from(budget.prepaid_tokens) < *least;
+            below.then(|| (budget.name.clone(), *least))
+        });
+        for (name, least) in below.collect::<Vec<_>>() {
+            let message = format!("prepaid_tokens is below {least}, which are granted and spent");
+            self.find_at("budget", &name, message);
+        }
+    }
+
     /// Returns the set, or every error in the order of the files.
     ///
     /// # Errors
@@ -131,7 +144,9 @@
     /// All findings, sorted by place.
     pub fn finish(mut self) -> Result<object_set::ObjectSet, Vec<Finding>> {
         let set = std::mem::take(&mut self.set);
+        self.check_names();
         self.check_workspaces(&set);
+        self.check_budgets(&set);
         self.check_routes(&set);
         self.check_pools(&set);
         if self.findings.is_empty() {
@@ -141,6 +156,22 @@
         Err(self.findings)
     }
 
+    fn check_names(&mut self) {
+        let empty = self.places.keys().filter(|(_, name)| name.is_empty());
+        for (kind, name) in empty.cloned().collect::<Vec<_>>() {
+            self.find_at(kind, &name, format!("the {kind} has no name"));
+        }
+    }
+
+    fn check_budgets(&mut self, set: &object_set::ObjectSet) {
+        for (name, budget) in &set.budgets {
+            if budget.autonomy_seconds == 0 {
+                let message = "autonomy_seconds must not be zero".to_owned();
+                self.find_at("budget", name, message);
+            }
+        }
+    }
+
     fn check_workspaces(&mut self, set: &object_set::ObjectSet) {
         let mut owners: BTreeMap<&str, &name::Name> = BTreeMap::new();
         for (name, workspace) in &set.workspaces {
@@ -148,6 +179,9 @@
                 let message = format!("budget {:?} does not exist", workspace.budget);
                 self.find_at("workspace", name, message);
             }
+            if workspace.weight == 0 {
+                self.find_at("workspace", name, "weight must not be zero".to_owned());
+            }
             for route in &workspace.routes {
                 if !set.routes.contains_key(route) {
                     self.find_at("workspace", name, format!("route {route:?} does not exist"));
@@ -190,12 +224,37 @@
                     "deadline_seconds must not be zero".to_owned(),
                 );
             }
+            if !route.path.is_empty() && !route.path.starts_with('/') {
+                let message = format!("path {:?} does not begin with a slash", route.path);
+                self.find_at("route", name, message);
+            }
+            self.check_models(set, name, route);
             for pool_name in &route.pools {
                 self.check_route_pool(set, name, pool_name, route.model.is_empty());
             }
         }
     }
 
+    /// A pool that names no models may hold any.
+    fn check_models(
+        &mut self,
+        set: &object_set::ObjectSet,
+        name: &name::Name,
+        route: &route::Route,
+    ) {
+        let pools: Vec<_> = route
+            .pools
+            .iter()
+            .filter_map(|pool| set.pools.get(pool))
+            .collect();
+        let holds =
+            |pool: &&pool::Pool| pool.models.is_empty() || pool.models.contains(&route.model);
+        if !route.model.is_empty() && !pools.is_empty() && !pools.iter().any(holds) {
+            let message = format!("no pool of the route holds the model {:?}", route.model);
+            self.find_at("route", name, message);
+        }
+    }
+
     fn check_route_pool(
         &mut self,
         set: &object_set::ObjectSet,
--- a/src/coordination/history.rs
+++ b/src/coordination/history.rs
@@ -146,6 +146,7 @@
             version: update.version,
             publish_id: update.publish_id,
             chunks: digests,
+            earlier: Vec::new(),
         };
         let chunks = self.collect(&head, |digest| update.chunks.get(digest).cloned())?;
         Ok(Some(Self { head, chunks }))
--- a/src/ctl.rs
+++ b/src/ctl.rs
@@ -2,27 +2,40 @@
 
 use std::{fs, io::Write, path::Path};
 
+use serde::Serialize;
+use serde_json::json;
+
 use crate::{
-    coordination::{check, publish},
+    coordination::{check, difference, orders},
     error,
     protocol::kv,
-    state::{config, object_set},
+    state::{holder_record, object_set},
     transport::store,
 };
 
 mod command;
-pub use command::{Command, parse};
+mod cut;
+mod publication;
+mod reach;
+pub use command::{Action, Command, parse};
+pub use publication::{collect, publish_set, read_published};
 
 /// The tool did what it was asked.
 pub const EXIT_OK: u8 = 0;
-/// The tool failed, for example because the store cannot be reached.
+/// The tool failed, and nothing was published.
 pub const EXIT_FAILED: u8 = 1;
 /// The command line is wrong.
 pub const EXIT_USAGE: u8 = 2;
-/// The set of objects has errors.
+/// The set of objects has errors, or a total is below what is granted and spent.
 pub const EXIT_FINDINGS: u8 = 3;
 /// Another publication came first.
 pub const EXIT_CONFLICT: u8 = 4;
+/// It is not known whether the set was published.
+pub const EXIT_UNKNOWN: u8 = 5;
+/// The set was published, but not all routers run it yet.
+pub const EXIT_LAGGING: u8 = 6;
+/// The folder differs from the published set.
+pub const EXIT_DIFFERS: u8 = 7;
 
 /// Runs one command and returns the exit code.
 pub async fn run(command: &Command, out: &mut impl Write) -> u8 {
@@ -30,46 +43,278 @@
         Ok(code) => code,
         Err(err) => {
             eprintln!("fulmarctl: {err}.");
-            match err {
-                error::Error::Conflict { .. } => EXIT_CONFLICT,
-                error::Error::Objects { .. } => EXIT_FINDINGS,
-                _ => EXIT_FAILED,
-            }
+            exit_code(&err)
         }
     }
 }
 
+fn exit_code(err: &error::Error) -> u8 {
+    match err {
+        error::Error::Conflict { .. } => EXIT_CONFLICT,
+        error::Error::Objects { .. } | error::Error::Cut { .. } => EXIT_FINDINGS,
+        error::Error::UnknownOutcome { .. } => EXIT_UNKNOWN,
+        error::Error::Argument { .. } => EXIT_USAGE,
+        _ => EXIT_FAILED,
+    }
+}
+
 async fn try_run(command: &Command, out: &mut impl Write) -> Result<u8, error::Error> {
-    match command {
-        Command::Print(text) => write!(out, "{text}")?,
-        Command::Check { dir } => {
+    let json = command.json;
+    match &command.action {
+        Action::Print(text) => write!(out, "{text}")?,
+        Action::Check { dir, store } => check(dir, store.as_ref(), json, out).await?,
+        Action::Diff { dir, store } => return diff(dir, store, json, out).await,
+        Action::Publish {
+            dir,
+            store,
+            expect,
+            wait,
+        } => {
             let set = read_dir(dir)?;
-            writeln!(out, "{}", summary(&set))?;
-        }
-        Command::Publish { dir, store, expect } => {
-            let set = read_dir(dir)?;
-            let version = publish_set(store, &set, *expect).await?;
-            writeln!(out, "Version {version} is published.")?;
+            let version = publish(store, &set, *expect, json, out).await?;
+            if let Some(reach) = wait {
+                return wait_for(reach, version, json, out).await;
+            }
         }
-        Command::Get { store } => {
+        Action::Get { store } => {
             let (head, set) = read_published(store).await?;
-            writeln!(out, "Version {}.", head.version)?;
-            writeln!(
-                out,
-                "{}",
-                serde_json::to_string_pretty(&set).unwrap_or_default()
-            )?;
+            if !json {
+                writeln!(
+                    out,
+                    "Version {}, publication {}.",
+                    head.version, head.publish_id
+                )?;
+            }
+            print(out, &set)?;
         }
+        Action::Status { store, reach } => status(store, reach, json, out).await?,
+        Action::BudgetShow { name, store } => show_budget(store, name, json, out).await?,
+        Action::TopUp { name, total, store } => {
+            let (head, mut set) = read_published(store).await?;
+            let Some(budget) = set.budgets.get_mut(name.as_str()) else {
+                let message = format!("budget {name:?} does not exist");
+                return Err(error::Error::Argument { message });
+            };
+            budget.prepaid_tokens = *total;
+            publish(store, &set, Some(head.version), json, out).await?;
+        }
+        Action::Drain { vm, on, reach } => {
+            reach.drain(vm, *on).await?;
+            let state = if *on {
+                "drains"
+            } else {
+                "takes new work again"
+            };
+            match json {
+                true => print(out, &json!({ "vm": vm, "draining": on }))?,
+                false => writeln!(out, "{vm} {state}.")?,
+            }
+        }
+        Action::Order { store } => show_orders(store, json, out).await?,
     }
     Ok(EXIT_OK)
 }
 
-fn summary(set: &object_set::ObjectSet) -> String {
+fn print(out: &mut impl Write, value: &impl Serialize) -> Result<(), error::Error> {
+    let text = serde_json::to_string_pretty(value).unwrap_or_default();
+    Ok(writeln!(out, "{text}")?)
+}
+
+async fn check(
+    dir: &Path,
+    store: Option<&store::Store>,
+    json: bool,
+    out: &mut impl Write,
+) -> Result<(), error::Error> {
+    let mut checker = read_files(dir)?;
+    if let Some(store) = store {
+        checker.compare(&cut::read_committed(store).await?);
+    }
+    let set = finish(checker)?;
     let [workspaces, budgets] = [set.workspaces.len(), set.budgets.len()];
     let [routes, pools] = [set.routes.len(), set.pools.len()];
-    format!(
+    if json {
+        let counts = json!({ "workspaces": workspaces, "budgets": budgets, "routes": routes,
+            "pools": pools });
+        return print(out, &counts);
+    }
+    writeln!(
+        out,
         "{workspaces} workspaces, {budgets} budgets, {routes} routes, {pools} pools: no errors."
-    )
+    )?;
+    Ok(())
+}
+
+async fn diff(
+    dir: &Path,
+    store: &store::Store,
+    json: bool,
+    out: &mut impl Write,
+) -> Result<u8, error::Error> {
+    let set = read_dir(dir)?;
+    let (head, published) = read_published(store).await?;
+    let found = difference::between(&published, &set);
+    if json {
+        print(
+            out,
+            &json!({ "version": head.version, "differences": found }),
+        )?;
+    } else {
+        for difference in &found {
+            writeln!(out, "{difference}")?;
+        }
+        writeln!(
+            out,
+            "{} objects differ from version {}.",
+            found.len(),
+            head.version
+        )?;
+    }
+    Ok(if found.is_empty() {
+        EXIT_OK
+    } else {
+        EXIT_DIFFERS
+    })
+}
+
+async fn publish(
+    store: &store::Store,
+    set: &object_set::ObjectSet,
+    expect: Option<u64>,
+    json: bool,
+    out: &mut impl Write,
+) -> Result<u64, error::Error> {
+    let published = publish_set(store, set, expect).await;
+    if let Err(error::Error::Conflict { .. }) = &published {
+        let (_, other) = read_published(store).await?;
+        eprintln!("Objects that differ from the published ones:");
+        for difference in difference::between(&other, set) {
+            eprintln!("  {difference}");
+        }
+    }
+    let version = published?;
+    match json {
+        true => print(out, &json!({ "published": version }))?,
+        false => writeln!(out, "Version {version} is published.")?,
+    }
+    Ok(version)
+}
+
+async fn wait_for(
+    reach: &reach::Reach,
+    version: u64,
+    json: bool,
+    out: &mut impl Write,
+) -> Result<u8, error::Error> {
+    let status = reach.wait(version).await?;
+    let all = status.routers.len();
+    let done = all - status.lagging.len();
+    if json {
+        print(
+            out,
+            &json!({ "routers": all, "in_force": done, "lagging": status.lagging }),
+        )?;
+    } else {
+        writeln!(out, "{done} of {all} routers run version {version}.")?;
+        for name in &status.lagging {
+            writeln!(out, "{name} does not.")?;
+        }
+    }
+    Ok(if done == all { EXIT_OK } else { EXIT_LAGGING })
+}
+
+async fn status(
+    store: &store::Store,
+    reach: &reach::Reach,
+    json: bool,
+    out: &mut impl Write,
+) -> Result<(), error::Error> {
+    let (head, _) = publication::read_head(store).await?;
+    let status = reach.status(head.version).await?;
+    if json {
+        return print(out, &status);
+    }
+    writeln!(out, "Version {} is published.", status.published)?;
+    for router in &status.routers {
+        match &router.error {
+            Some(err) => writeln!(out, "router {}: {err}", router.name)?,
+            None => writeln!(out, "router {}: version {}", router.name, router.version)?,
+        }
+    }
+    for (agent, version) in &status.agents {
+        writeln!(out, "agent {agent}: version {version}")?;
+    }
+    for name in &status.lagging {
+        writeln!(out, "{name} lags.")?;
+    }
+    Ok(())
+}
+
+async fn show_budget(
+    store: &store::Store,
+    name: &str,
+    json: bool,
+    out: &mut impl Write,
+) -> Result<(), error::Error> {
+    let (_, set) = read_published(store).await?;
+    let Some(budget) = set.budgets.get(name) else {
+        let message = format!("budget {name:?} does not exist");
+        return Err(error::Error::Argument { message });
+    };
+    let entry = cut::read_entry(store, name).await?.unwrap_or_default();
+    let (records, _) = store.list(store::HOLDER_PREFIX).await?;
+    let mut spent = entry.closed;
+    for kv in &records {
+        let record: holder_record::HolderRecord = kv::decode(kv)?;
+        if entry.shares.contains_key(&record.member.incarnation)
+            && let Some(figures) = record.budgets.get(name)
+        {
+            spent = spent.saturating_add_unsigned(figures.spent);
+        }
+    }
+    let (total, committed) = (budget.prepaid_tokens, entry.committed());
+    if json {
+        return print(
+            out,
+            &json!({ "name": name, "prepaid_tokens": total, "spent": spent,
+                "committed": committed as i64, "holders": entry.shares.len(), "cap": entry.cap }),
+        );
+    }
+    writeln!(out, "budget {name}: {total} tokens prepaid, {spent} spent,")?;
+    writeln!(
+        out,
+        "{committed} spent or granted to {} routers.",
+        entry.shares.len()
+    )?;
+    Ok(())
+}
+
+async fn show_orders(
+    store: &store::Store,
+    json: bool,
+    out: &mut impl Write,
+) -> Result<(), error::Error> {
+    let (found, _) = store.list(store::ORDER_PREFIX).await?;
+    let mut shown = Vec::new();
+    for kv in &found {
+        let key = String::from_utf8_lossy(&kv.key.0).into_owned();
+        let pool = key.trim_start_matches(store::ORDER_PREFIX).to_owned();
+        let coordinator: orders::Coordinator = kv::decode(kv)?;
+        shown.push((pool, coordinator, kv.create_revision.0));
+    }
+    if json {
+        let line = |(pool, coordinator, fencing): &(String, orders::Coordinator, u64)| json!({ "pool": pool, "coordinator": coordinator, "fencing": fencing });
+        return print(out, &shown.iter().map(line).collect::<Vec<_>>());
+    }
+    for (pool, coordinator, fencing) in &shown {
+        writeln!(
+            out,
+            "pool {pool}: {} coordinates as number {fencing}.",
+            coordinator.name
+        )?;
+    }
+    writeln!(out, "{} pools have a coordinator.", shown.len())?;
+    Ok(())
 }
 
 /// Reads and checks every TOML file of a folder.
@@ -79,6 +324,10 @@
 /// [`error::Error::File`] when a file cannot be read, [`error::Error::Objects`] when the set has
 /// errors, which go to standard error with file and line.
 pub fn read_dir(dir: &Path) -> Result<object_set::ObjectSet, error::Error> {
+    finish(read_files(dir)?)
+}
+
+fn read_files(dir: &Path) -> Result<check::Checker, error::Error> {
     let file_error = |path: &Path| {
         let path = path.display().to_string();
         move |source| error::Error::File { path, source }
@@ -95,6 +344,10 @@
         let text = fs::read_to_string(&path).map_err(file_error(&path))?;
         checker.add(&path.display().to_string(), &text);
     }
+    Ok(checker)
+}
+
+fn finish(checker: check::Checker) -> Result<object_set::ObjectSet, error::Error> {
     checker.finish().map_err(|findings| {
         for finding in &findings {
             eprintln!("{finding}");
@@ -104,70 +357,3 @@
         }
     })
 }
-
-async fn read_head(store: &store::Store) -> Result<(config::Head, u64), error::Error> {
-    match store.get(store::HEAD_KEY).await? {
-        Some(found) => Ok((kv::decode(&found)?, found.mod_revision.0)),
-        None => Ok((config::Head::default(), 0)),
-    }
-}
-
-/// Reads the published set.
-///
-/// # Errors
-///
-/// [`error::Error::Store`] when the store cannot be reached or lacks a chunk.
-pub async fn read_published(
-    store: &store::Store,
-) -> Result<(config::Head, object_set::ObjectSet), error::Error> {
-    let (head, _) = read_head(store).await?;
-    let keys: Vec<_> = head
-        .chunks
-        .values()
-        .map(|digest| chunk_key(digest))
-        .collect();
-    let found = store.get_many(&keys).await?;
-    let mut parts = Vec::new();
-    for kv in found.values() {
-        parts.push(kv::decode(kv)?);
-    }
-    Ok((head, publish::join(parts)))
-}
-
-fn chunk_key(digest: &str) -> String {
-    format!("{}{digest}", store::CHUNK_PREFIX)
-}
-
-/// Publishes a set and returns its version.
-///
-/// # Errors
-///
-/// [`error::Error::Conflict`] when another publication came first.
-pub async fn publish_set(
-    store: &store::Store,
-    set: &object_set::ObjectSet,
-    expect: Option<u64>,
-) -> Result<u64, error::Error> {
-    let (head, revision) = read_head(store).await?;
-    let expected = expect.unwrap_or(head.version);
-    if head.version != expected {
-        let found = head.version;
-        return Err(error::Error::Conflict { expected, found });
-    }
-    let chunks = publish::divide(set)?;
-    for (digest, content) in &chunks.contents {
-        store.put_if(&chunk_key(digest), content, 0, 0).await?;
-    }
-    let next = config::Head {
-        version: expected + 1,
-        publish_id: format!("{:032x}", fastrand::u128(..)),
-        chunks: chunks.digests,
-    };
-    match store.put_if(store::HEAD_KEY, &next, revision, 0).await? {
-        store::Put::Written(_) => Ok(next.version),
-        store::Put::Conflict(_) => {
-            let found = read_head(store).await?.0.version;
-            Err(error::Error::Conflict { expected, found })
-        }
-    }
-}
--- a/src/error.rs
+++ b/src/error.rs
@@ -63,6 +63,32 @@
         /// Version that is published.
         found: u64,
     },
+    /// A total is below what is granted and spent.
+    #[display("budget {budget} cannot be cut to {total}: the least total that passes is {least}")]
+    Cut {
+        /// Name of the budget.
+        budget: String,
+        /// Total asked for.
+        total: u64,
+        /// Tokens granted and spent.
+        least: i128,
+    },
+    /// A publication failed before it could take effect.
+    #[display("not published: {cause}")]
+    NotPublished {
+        /// Cause.
+        cause: String,
+    },
+    /// A publication failed, and the store does not tell whether it took effect.
+    #[display(
+        "unknown whether version {version} is published: run `fulmarctl get` and look for publication {publish_id}"
+    )]
+    UnknownOutcome {
+        /// Version that it would be.
+        version: u64,
+        /// Id of the publication.
+        publish_id: String,
+    },
     /// An RPC between members failed.
     #[from]
     #[display("fleet call failed: {_0}")]
--- a/src/state/config.rs
+++ b/src/state/config.rs
@@ -15,6 +15,47 @@
     pub publish_id: String,
     /// SHA-256 digests of the chunks, by chunk name.
     pub chunks: BTreeMap<name::Name, String>,
+    /// Ids of the publications before, newest first.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub earlier: Vec<String>,
+}
+
+/// Earlier publications whose ids a head keeps.
+pub const KEPT_IDS: usize = 32;
+
+impl Head {
+    /// Makes the head that follows this one.
+    ///
+    /// ```
+    /// let head = fulmarproxy::state::config::Head::default();
+    /// assert_eq!(head.next("id".to_owned(), Default::default()).version, 1);
+    /// ```
+    pub fn next(&self, publish_id: String, chunks: BTreeMap<name::Name, String>) -> Self {
+        let mut earlier = vec![self.publish_id.clone()];
+        earlier.extend(self.earlier.iter().take(KEPT_IDS - 1).cloned());
+        Self {
+            version: self.version + 1,
+            publish_id,
+            chunks,
+            earlier,
+        }
+    }
+
+    /// Id of the publication that made a version; `None` when it is not kept.
+    ///
+    /// ```
+    /// let first = fulmarproxy::state::config::Head::default().next("a".to_owned(), Default::default());
+    /// let second = first.next("b".to_owned(), Default::default());
+    /// assert_eq!(second.publish_id_of(1), Some("a"));
+    /// assert_eq!(second.publish_id_of(3), None);
+    /// ```
+    pub fn publish_id_of(&self, version: u64) -> Option<&str> {
+        let back = self.version.checked_sub(version)?;
+        match back {
+            0 => Some(&self.publish_id),
+            back => self.earlier.get(back as usize - 1).map(String::as_str),
+        }
+    }
 }
 
 /// A configuration in force.
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -3,6 +3,7 @@
 pub mod admin;
 pub mod agent_rpc;
 pub mod backend;
+pub mod counted;
 pub mod dialler;
 pub mod fleet;
 pub mod fleet_link;
--- a/src/transport/fleet_link.rs
+++ b/src/transport/fleet_link.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     error, fleet_capnp,
-    transport::{handshake, timers, workers},
+    transport::{counted, handshake, timers, workers},
 };
 
 const CONNECT_LIMIT: Duration = Duration::from_secs(2);
@@ -20,8 +20,8 @@
 fn network(
     stream: TcpStream,
     side: Side,
-) -> Box<VatNetwork<io::BufReader<io::ReadHalf<TcpStream>>>> {
-    let (reader, writer) = stream.split();
+) -> Box<VatNetwork<io::BufReader<io::ReadHalf<counted::Counted<TcpStream>>>>> {
+    let (reader, writer) = counted::Counted::new(stream).split();
     Box::new(VatNetwork::new(
         io::BufReader::new(reader),
         io::BufWriter::new(writer),
--- a/src/transport/store.rs
+++ b/src/transport/store.rs
@@ -7,7 +7,7 @@
 use serde::Serialize;
 use trillium_client::Client;
 
-use crate::{error, protocol::kv, transport::http};
+use crate::{error, protocol::kv, state::ledger, transport::http};
 
 const CALL_LIMIT: Duration = Duration::from_secs(2);
 
@@ -20,6 +20,15 @@
 /// Prefix of the ledger buckets, by number.
 pub const LEDGER_PREFIX: &str = "fulmar/ledger/";
 
+/// Key of the ledger bucket of a budget.
+///
+/// ```
+/// assert!(fulmarproxy::transport::store::ledger_key("desk").starts_with("fulmar/ledger/"));
+/// ```
+pub fn ledger_key(budget: &str) -> String {
+    format!("{LEDGER_PREFIX}{:03}", ledger::bucket_of(budget))
+}
+
 /// Prefix of the holder records, by incarnation.
 pub const HOLDER_PREFIX: &str = "fulmar/holder/";
 
