--- /dev/null
+++ b/tests/direct/mod.rs
@@ -0,0 +1,261 @@
+//! Routers and agents of one process that call one another directly, around a store in memory.
+#![allow(dead_code)]
+
+use std::{
+    collections::BTreeSet,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use fulmarproxy::{
+    agent,
+    coordination::orders,
+    ctl,
+    protocol::{kv, messages, run, vm_list},
+    router, settings,
+    standin::key_values,
+    state::{name, object_set, pool},
+    transport::{backend, fleet, runtime, store, vms},
+};
+use futures::{StreamExt, stream};
+
+const WAIT: Duration = Duration::from_secs(60);
+
+fn read_settings(role: &str, name: &str) -> settings::Settings {
+    let key = std::env::temp_dir().join(format!("fulmar-orders-{}.key", std::process::id()));
+    std::fs::write(&key, "a key for tests only").unwrap();
+    let args = [
+        role,
+        "--name",
+        name,
+        "--region",
+        "r",
+        "--zone",
+        "z",
+        "--store",
+        "http://unused",
+        "--vms",
+        "http://unused",
+        "--service",
+        "s",
+        "--backend",
+        "http://unused",
+        "--fleet-key-file",
+        key.to_str().unwrap(),
+    ];
+    let args: Vec<String> = args.iter().map(|arg| (*arg).to_owned()).collect();
+    match settings::parse(&args, &|_| None) {
+        Ok(settings::Command::Run(settings)) => *settings,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// A store in memory; a member that is cut off gets errors.
+#[derive(Clone, Default)]
+pub struct Platform {
+    values: Arc<Mutex<key_values::KeyValues>>,
+    leases: Arc<AtomicU64>,
+    ended: Arc<Mutex<Vec<u64>>>,
+}
+
+impl Platform {
+    fn carry(&self, call: store::Call) -> store::Reply {
+        match call {
+            store::Call::Range(req) => store::Reply::Range(self.values.lock().unwrap().range(&req)),
+            store::Call::Txn(req) => store::Reply::Txn(self.values.lock().unwrap().txn(&req)),
+            store::Call::LeaseGrant(req) => store::Reply::Lease(kv::LeaseResponse {
+                id: kv::Number(self.leases.fetch_add(1, Ordering::Relaxed) + 1),
+                ttl: req.ttl,
+            }),
+            store::Call::LeaseKeep(req) => {
+                let ended = self.ended.lock().unwrap().contains(&req.id.0);
+                let ttl = kv::Number(if ended { 0 } else { 15 });
+                store::Reply::Lease(kv::LeaseResponse { id: req.id, ttl })
+            }
+        }
+    }
+
+    pub fn store(&self) -> store::Store {
+        self.store_of("".into(), Cut::default())
+    }
+
+    /// The store as a member reaches it.
+    fn store_of(&self, member: name::Name, cut: Cut) -> store::Store {
+        let platform = self.clone();
+        store::Store {
+            carry: Arc::new(move |call| {
+                let reachable = !cut.lock().unwrap().contains(&member);
+                let reply = reachable.then(|| platform.carry(call)).ok_or_else(lost);
+                Box::pin(async move { reply })
+            }),
+            open: Arc::new(|_| stream::pending().boxed()),
+        }
+    }
+
+    pub fn end_lease(&self, lease: u64) {
+        self.ended.lock().unwrap().push(lease);
+        self.values.lock().unwrap().end_lease(lease);
+    }
+
+    pub fn coordinator(&self) -> Option<(orders::Coordinator, u64, u64)> {
+        let read = self.store();
+        let found = smol::block_on(read.get("fulmar/order/p")).unwrap()?;
+        let coordinator = kv::decode(&found).unwrap();
+        Some((coordinator, found.create_revision.0, found.lease.0))
+    }
+}
+
+type Routers = Arc<Mutex<Vec<(name::Name, Arc<router::Router>)>>>;
+type Cut = Arc<Mutex<BTreeSet<name::Name>>>;
+type Agents = Arc<Mutex<Vec<(name::Name, Arc<agent::Agent>)>>>;
+
+/// Routers and agents of one process that call one another directly.
+#[derive(Clone, Default)]
+pub struct World {
+    pub platform: Platform,
+    routers: Routers,
+    agents: Agents,
+    pub bodies: Arc<Mutex<Vec<serde_json::Value>>>,
+    pub listed: Arc<Mutex<Vec<vm_list::Vm>>>,
+    cut: Cut,
+}
+
+fn lost() -> fulmarproxy::error::Error {
+    fulmarproxy::error::Error::Io(std::io::ErrorKind::NotConnected.into())
+}
+
+impl World {
+    /// Calls as a member makes them: a cut goes between its two sides.
+    fn fleet(&self, from: &name::Name) -> fleet::Fleet {
+        let (routers, agents) = (self.routers.clone(), self.agents.clone());
+        let (cut, from) = (self.cut.clone(), from.clone());
+        let reaches = move |to: &name::Name| {
+            let cut = cut.lock().unwrap();
+            cut.contains(&from) == cut.contains(to)
+        };
+        let reaches_again = reaches.clone();
+        let none = |_: &run::RunRequest| {
+            let (_, chunks) = async_channel::bounded(1);
+            let (_, outcome) = async_channel::bounded(1);
+            fleet::Attempt { chunks, outcome }
+        };
+        let none_again = |_: &messages::Resume| {
+            let (_, chunks) = async_channel::bounded(1);
+            let (_, outcome) = async_channel::bounded(1);
+            fleet::Attempt { chunks, outcome }
+        };
+        fleet::Fleet {
+            run: Arc::new(move |_, req| none(&req)),
+            resume: Arc::new(move |_, req| none_again(&req)),
+            agent: Arc::new(move |address, call| {
+                let agents = agents.lock().unwrap();
+                let found = agents
+                    .iter()
+                    .rfind(|(known, _)| *known == address && reaches(known));
+                let found = found.map(|(_, agent)| agent.clone());
+                Box::pin(async move { Ok(found.ok_or_else(lost)?.handle(call).await) })
+            }),
+            router: Arc::new(move |address, call| {
+                let routers = routers.lock().unwrap();
+                let found = routers
+                    .iter()
+                    .rfind(|(known, _)| *known == address && reaches_again(known));
+                let found = found.map(|(_, router)| router.clone());
+                Box::pin(async move { found.ok_or_else(lost)?.handle(call).await.ok_or_else(lost) })
+            }),
+        }
+    }
+
+    /// Puts a VM on the list.
+    pub fn list(&self, role: vm_list::VmRole, index: usize) {
+        self.listed.lock().unwrap().push(vm_list::Vm {
+            name: format!("vm-{role:?}-{index}").into(),
+            role,
+            address: format!("{role:?}:{index}").into(),
+            region: "r".into(),
+            zone: "z".into(),
+            state: vm_list::VmState::Live,
+        });
+    }
+
+    fn vms(&self) -> vms::Vms {
+        let listed = self.listed.clone();
+        vms::Vms {
+            read: Arc::new(move || {
+                let list = listed.lock().unwrap().clone();
+                Box::pin(async move { Ok(list) })
+            }),
+        }
+    }
+
+    /// Cuts members off from the store and from all others but one another.
+    pub fn cut(&self, members: &[&str]) {
+        *self.cut.lock().unwrap() = members.iter().map(|member| (*member).into()).collect();
+    }
+
+    pub fn router(&self, index: usize) -> Arc<router::Router> {
+        let address: name::Name = format!("Router:{index}").into();
+        let router = router::Router::new(router::Parts {
+            settings: read_settings("router", &format!("vm-Router-{index}")),
+            address: address.clone(),
+            runtime: runtime::Runtime::default(),
+            fleet: self.fleet(&address),
+            store: self.platform.store_of(address.clone(), self.cut.clone()),
+            vms: self.vms(),
+        });
+        self.routers.lock().unwrap().push((address, router.clone()));
+        router.start();
+        router
+    }
+
+    pub fn agent(&self, index: usize) -> Arc<agent::Agent> {
+        let address: name::Name = format!("Agent:{index}").into();
+        let bodies = self.bodies.clone();
+        let agent = agent::Agent::new(agent::Parts {
+            settings: read_settings("agent", &format!("vm-Agent-{index}")),
+            address: address.clone(),
+            runtime: runtime::Runtime::default(),
+            fleet: self.fleet(&address),
+            vms: self.vms(),
+            backend: backend::Backend {
+                send: Arc::new(move |call| {
+                    let body = serde_json::from_slice(&call.body).unwrap();
+                    bodies.lock().unwrap().push(body);
+                    Box::pin(async {
+                        let body = stream::empty().boxed();
+                        Ok(backend::Answer { status: 200, body })
+                    })
+                }),
+            },
+        });
+        self.agents.lock().unwrap().push((address, agent.clone()));
+        agent.start();
+        agent
+    }
+
+    pub fn publish(&self, min_serving: u32) {
+        let mut set = object_set::ObjectSet::default();
+        let pool = pool::Pool {
+            name: "p".into(),
+            services: vec!["s".into()],
+            kind: pool::PoolKind::Engine,
+            checks_fencing: false,
+            min_serving,
+            models: vec!["m".to_owned()],
+        };
+        set.pools.insert(pool.name.clone(), pool);
+        smol::block_on(ctl::publish_set(&self.platform.store(), &set, None)).unwrap();
+    }
+}
+
+/// Waits for a condition.
+pub fn wait_for(what: &str, condition: impl Fn() -> bool) {
+    let start = Instant::now();
+    while !condition() {
+        assert!(start.elapsed() < WAIT, "waited {WAIT:?} for {what}");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
