--- /dev/null
+++ b/tests/scenarios.rs
@@ -0,0 +1,112 @@
+//! Every file under `tests/scenarios` is played, and its promises are checked throughout.
+
+mod world;
+
+use std::{collections::BTreeMap, fs, path::Path};
+
+use world::{play, script};
+
+const DIR: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/scenarios");
+
+fn scenarios() -> Vec<(String, script::Script)> {
+    let mut found = Vec::new();
+    for entry in fs::read_dir(DIR).unwrap() {
+        let path = entry.unwrap().path();
+        if path.extension().is_some_and(|end| end == "scn") {
+            found.push(load(&path));
+        }
+    }
+    found.sort_by(|one, other| one.0.cmp(&other.0));
+    found
+}
+
+fn load(path: &Path) -> (String, script::Script) {
+    let name = path.file_stem().unwrap().to_string_lossy().into_owned();
+    let text = fs::read_to_string(path).unwrap();
+    let script = script::parse(&text);
+    let script = script.unwrap_or_else(|err| panic!("{name}.scn:{}: {}", err.line, err.message));
+    (name, script)
+}
+
+/// Lines of a list: a name, then the rest.
+fn listed(file: &str) -> BTreeMap<String, String> {
+    let text = fs::read_to_string(format!("{DIR}/{file}")).unwrap_or_default();
+    let lines = text.lines().map(|line| line.split('#').next().unwrap_or_default());
+    let entry = |line: &str| {
+        let (name, rest) = line.trim().split_once(char::is_whitespace)?;
+        Some((name.to_owned(), rest.trim().to_owned()))
+    };
+    lines.filter_map(entry).collect()
+}
+
+#[test]
+fn every_scenario_holds() {
+    let known_red = listed("known-red.txt");
+    let only = std::env::var("SCENARIO").unwrap_or_default();
+    let mut wrong = Vec::new();
+    for (name, script) in scenarios() {
+        if !name.contains(&only) {
+            continue;
+        }
+        let report = play::run(&script, &[]);
+        match (report.is_green(), known_red.get(&name)) {
+            (true, None) => println!("green {name}"),
+            (false, None) => wrong.push(report.explain(&format!("tests/scenarios/{name}.scn"))),
+            (false, Some(reason)) => {
+                println!("KNOWN RED {name}: {reason}");
+                println!("  {}", report.explain(&name).lines().next().unwrap_or_default());
+            }
+            (true, Some(_)) => wrong.push(format!("{name} passes: take it off known-red.txt")),
+        }
+    }
+    assert!(wrong.is_empty(), "{}", wrong.join("\n\n"));
+}
+
+#[test]
+fn known_red_names_scenarios() {
+    let names: Vec<_> = scenarios().into_iter().map(|(name, _)| name).collect();
+    for name in listed("known-red.txt").keys() {
+        assert!(names.contains(name), "known-red.txt names {name}, which does not exist");
+    }
+}
+
+#[test]
+fn the_same_seed_gives_the_same_trace() {
+    for (name, script) in scenarios() {
+        let [first, second] = [play::run(&script, &[]), play::run(&script, &[])];
+        assert_eq!(first.trace, second.trace, "{name}");
+    }
+}
+
+#[test]
+fn a_wrong_line_is_named() {
+    let err = script::parse("seed 1\nat 1s dance\n").unwrap_err();
+    assert_eq!(err.line, 2);
+    assert!(err.message.contains("dance"), "{}", err.message);
+}
+
+#[test]
+fn every_cell_of_the_matrix_names_a_scenario() {
+    const PROMISES: [&str; 8] =
+        ["spend", "billed", "whole", "notrun", "once", "leaving", "graceful", "config"];
+    const FAILURES: [&str; 8] = [
+        "partition",
+        "router-dies",
+        "store-down",
+        "lost-reply",
+        "paused",
+        "publish-race",
+        "crashing-request",
+        "silent",
+    ];
+    let text = fs::read_to_string(format!("{DIR}/matrix.txt")).unwrap();
+    let names: Vec<_> = scenarios().into_iter().map(|(name, _)| name).collect();
+    for failure in FAILURES {
+        for promise in PROMISES {
+            let cell = format!("{promise} x {failure}: ");
+            let found = text.lines().find_map(|line| line.strip_prefix(&*cell));
+            let found = found.unwrap_or_else(|| panic!("matrix.txt lacks {cell}"));
+            assert!(names.iter().any(|name| name == found), "{cell}{found} does not exist");
+        }
+    }
+}
--- /dev/null
+++ b/tests/world/checks.rs
@@ -0,0 +1,297 @@
+//! The promises that hold throughout every scenario, one function each.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use fulmarproxy::{
+    state::{holder_record, ledger},
+    transport::store,
+};
+
+use super::{callers, engine, members, objects, play};
+
+const LEAVING_LIMIT: Duration = Duration::from_secs(3);
+const FORCE_LIMIT: Duration = Duration::from_secs(10);
+
+/// The promises.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Promise {
+    /// Spend never exceeds the prepaid total.
+    Spend,
+    /// Every request is billed exactly once.
+    BilledOnce,
+    /// A caller receives the whole answer to its own request, or a refusal.
+    WholeAnswer,
+    /// A request refused as not run did not run.
+    NotRun,
+    /// A non-idempotent call runs at most once.
+    AtMostOnce,
+    /// A leaving backend server receives no new work after a few seconds.
+    Leaving,
+    /// A graceful shutdown cuts off no request in flight.
+    Graceful,
+    /// A configuration is in force within seconds and never reverts.
+    Config,
+}
+
+/// A broken promise.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Violation {
+    /// Which.
+    pub promise: Promise,
+    /// What was found.
+    pub detail: String,
+}
+
+type Found = Vec<Violation>;
+
+fn broken(promise: Promise, detail: String) -> Violation {
+    Violation { promise, detail }
+}
+
+/// Checks that can be made at any moment.
+pub fn throughout(play: &play::Play) -> Found {
+    let mut found = spend(play);
+    found.extend(at_most_once(play));
+    found.extend(leaving(play));
+    found.extend(config_in_force(play));
+    found
+}
+
+/// Checks of the end, when everything is healed and quiet.
+pub fn at_end(play: &play::Play) -> Found {
+    let mut found = throughout(play);
+    found.extend(billed_once(play));
+    found.extend(whole_answers(play));
+    found.extend(not_run(play));
+    found.extend(graceful(play));
+    found
+}
+
+/// Tokens that engines made, by budget.
+pub fn made(play: &play::Play) -> BTreeMap<String, u64> {
+    let mut made = BTreeMap::new();
+    play.visit_runs(|run| *made.entry(run.budget.clone()).or_default() += run.tokens);
+    made
+}
+
+fn spend(play: &play::Play) -> Found {
+    let mut found = Vec::new();
+    for (budget, tokens) in made(play) {
+        let total = play.prepaid(&budget);
+        if tokens > total {
+            let detail = format!("engines made {tokens} tokens for {budget}, {total} are prepaid");
+            found.push(broken(Promise::Spend, detail));
+        }
+    }
+    found
+}
+
+fn at_most_once(play: &play::Play) -> Found {
+    let mut runs: BTreeMap<(String, u32), u32> = BTreeMap::new();
+    play.visit_runs(|run| *runs.entry((run.label.clone(), run.send)).or_default() += 1);
+    let mut found = Vec::new();
+    for sent in play.callers.all() {
+        let key = (sent.send.label.clone(), sent.number);
+        let count = runs.get(&key).copied().unwrap_or(0);
+        if !objects::is_idempotent(&sent.send.route) && count > 1 {
+            let detail = format!("non-idempotent call {} ran {count} times", key.0);
+            found.push(broken(Promise::AtMostOnce, detail));
+        }
+    }
+    found
+}
+
+fn leaving(play: &play::Play) -> Found {
+    let mut found = Vec::new();
+    let dispatches = play.members.dispatches.lock().unwrap();
+    for dispatch in dispatches.iter() {
+        let Some(since) = play.leaving.get(&dispatch.to) else {
+            continue;
+        };
+        let late = dispatch.at > *since + LEAVING_LIMIT;
+        if late && runs_of(play, dispatch).iter().any(|run| run.began > *since + LEAVING_LIMIT) {
+            let to = &dispatch.to;
+            let detail = format!("{to} is leaving since {since:?}, got work at {:?}", dispatch.at);
+            found.push(broken(Promise::Leaving, detail));
+        }
+    }
+    found
+}
+
+fn runs_of(play: &play::Play, dispatch: &members::Dispatch) -> Vec<engine::Run> {
+    let engines = play.members.engines.lock().unwrap();
+    let Some((_, engine)) = engines.get(&dispatch.agent) else {
+        return Vec::new();
+    };
+    let mut runs = engine.runs();
+    runs.retain(|run| run.id == dispatch.id);
+    runs
+}
+
+fn config_in_force(play: &play::Play) -> Found {
+    let now = play.clock.now();
+    let mut found = play.reverted.clone();
+    for published in play.platform.published() {
+        for (vm, router) in play.routers() {
+            let since = published.at.max(play.undisturbed_since(&vm));
+            let version = router.config().config.version;
+            let due = since + FORCE_LIMIT < now;
+            if due && play.reaches_store(&vm) && version < published.version {
+                let wanted = published.version;
+                let detail = format!("{vm} follows version {version}, {wanted} is published");
+                found.push(broken(Promise::Config, detail));
+            }
+        }
+    }
+    found
+}
+
+/// Fewest and most tokens that something may amount to.
+#[derive(Clone, Copy, Debug, Default)]
+struct Range {
+    least: i128,
+    most: i128,
+}
+
+fn billed_once(play: &play::Play) -> Found {
+    let mut found = Vec::new();
+    for (budget, _) in &play.script.budgets {
+        let (ran, billed) = (chargeable(play, budget), billed(play, budget));
+        if billed.least > ran.most || billed.most < ran.least {
+            let detail = format!("{budget}: billed {billed:?}, chargeable {ran:?}");
+            found.push(broken(Promise::BilledOnce, detail));
+        }
+    }
+    found
+}
+
+/// What the attempts of a budget must cost; their bounds where the end of a run was lost.
+fn chargeable(play: &play::Play, budget: &str) -> Range {
+    let mut range = Range::default();
+    let whole: Vec<_> = play.callers.all().into_iter().filter(is_whole).collect();
+    let dispatches = play.members.dispatches.lock().unwrap().clone();
+    for dispatch in dispatches.iter().filter(|dispatch| dispatch.budget == budget) {
+        let runs = runs_of(play, dispatch);
+        let made: u64 = runs.iter().map(|run| run.tokens).sum();
+        let same = dispatches.iter().filter(|other| other.id == dispatch.id);
+        let was_given = whole.iter().any(|sent| sent.id.as_deref() == Some(&dispatch.id));
+        let lives = play.lives(dispatch.agent);
+        let exact = lives && (runs.is_empty() || (was_given && same.count() == 1));
+        let most = if exact { made } else { dispatch.bound.max(made) };
+        range.least += i128::from(made);
+        range.most += i128::from(most);
+    }
+    range
+}
+
+fn is_whole(sent: &callers::Sent) -> bool {
+    matches!(sent.end, Some((_, callers::End::Whole(_))))
+}
+
+/// What the ledger and the holders' records say of a budget.
+fn billed(play: &play::Play, budget: &str) -> Range {
+    let buckets: Vec<ledger::Bucket> = play.platform.peek(store::LEDGER_PREFIX);
+    let entry = buckets.iter().find_map(|bucket| bucket.entries.get(budget));
+    let entry = entry.cloned().unwrap_or_default();
+    let records: Vec<holder_record::HolderRecord> = play.platform.peek(store::HOLDER_PREFIX);
+    let is_closed = |record: &&holder_record::HolderRecord| {
+        record.state == holder_record::HolderState::Closed
+    };
+    let closed: Vec<_> = records.iter().filter(is_closed).map(|r| r.member.incarnation).collect();
+    let mut range = Range {
+        least: i128::from(entry.closed),
+        most: i128::from(entry.closed),
+    };
+    for record in records.iter().filter(|record| !is_closed(record)) {
+        let holder = record.member.incarnation;
+        let figures = record.budgets.get(budget).cloned().unwrap_or_default();
+        let with_closed = |flows: &BTreeMap<u64, u64>| -> i128 {
+            let closed = flows.iter().filter(|(other, _)| closed.contains(other));
+            closed.map(|(_, tokens)| i128::from(*tokens)).sum()
+        };
+        let net = with_closed(&figures.given) - with_closed(&figures.received);
+        let spent = i128::from(figures.spent) + net;
+        range.least += spent;
+        range.most += spent;
+        if !play.lives(holder) {
+            let granted = entry.shares.get(&holder).map_or(0, |share| share.granted);
+            let received: u64 = figures.received.values().sum();
+            range.most += i128::from((granted + received).saturating_sub(figures.spent));
+        }
+    }
+    range
+}
+
+fn whole_answers(play: &play::Play) -> Found {
+    let mut found = Vec::new();
+    for sent in play.callers.all() {
+        let send = &sent.send;
+        let wrong = match &sent.end {
+            None => Some("got neither answer nor refusal".to_owned()),
+            Some((_, callers::End::Whole(body))) if send.tokens > 0 => {
+                let text = engine::text_of(body, send.stream);
+                let wanted = engine::whole_text(&send.label, send.tokens);
+                (text != wanted).then(|| format!("got {text:?} as its whole answer"))
+            }
+            Some((_, callers::End::Whole(body))) => {
+                let text = String::from_utf8_lossy(body);
+                let own = text.starts_with(&format!("done {} ", send.label));
+                (!own).then(|| format!("got {text:?} as its whole answer"))
+            }
+            Some(_) => None,
+        };
+        if let Some(wrong) = wrong {
+            let detail = format!("{} sent at {:?} {wrong}", send.label, sent.at);
+            found.push(broken(Promise::WholeAnswer, detail));
+        }
+    }
+    found
+}
+
+fn not_run(play: &play::Play) -> Found {
+    let mut found = Vec::new();
+    let all = play.callers.all();
+    for sent in &all {
+        let same = |other: &&callers::Sent| {
+            other.send.label == sent.send.label && other.number == sent.number
+        };
+        let denied = |other: &callers::Sent| {
+            matches!(
+                other.end,
+                Some((_, callers::End::Refused { may_have_run: false, .. }))
+            )
+        };
+        if !all.iter().filter(same).all(denied) {
+            continue;
+        }
+        let mut runs = 0;
+        play.visit_runs(|run| {
+            let is_same = run.label == sent.send.label && run.send == sent.number;
+            runs += u32::from(is_same);
+        });
+        if runs > 0 {
+            let label = &sent.send.label;
+            let detail = format!("{label} was refused as not run, but ran {runs} times");
+            found.push(broken(Promise::NotRun, detail));
+        }
+    }
+    found
+}
+
+fn graceful(play: &play::Play) -> Found {
+    let mut found = Vec::new();
+    let all = play.callers.all();
+    for (index, stopped) in &play.in_flight_at_stop {
+        let sent = &all[*index];
+        let cut = match &sent.end {
+            Some((_, callers::End::Whole(_))) => false,
+            Some((_, callers::End::Refused { may_have_run, .. })) => *may_have_run,
+            _ => true,
+        };
+        if cut && !play.was_hurt(sent) {
+            let detail = format!("{} was in flight when {stopped} stopped", sent.send.label);
+            found.push(broken(Promise::Graceful, detail));
+        }
+    }
+    found
+}
--- /dev/null
+++ b/tests/world/clock.rs
@@ -0,0 +1,186 @@
+//! A single-threaded executor on a virtual clock: when nothing can run, the clock jumps ahead.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    sync::{Arc, Mutex},
+    task::{Context, Poll, Wake, Waker},
+    time::Duration,
+};
+
+use fulmarproxy::transport::{runtime, timers};
+use futures::future::BoxFuture;
+
+/// Process that a task belongs to; zero is the network and never stops.
+pub type Owner = u64;
+
+/// The owner of everything outside the processes under test.
+pub const OUTSIDE: Owner = 0;
+
+struct Task {
+    owner: Owner,
+    work: Option<BoxFuture<'static, ()>>,
+}
+
+#[derive(Default)]
+struct State {
+    now: Duration,
+    last: u64,
+    tasks: BTreeMap<u64, Task>,
+    ready: VecDeque<u64>,
+    queued: BTreeSet<u64>,
+    timers: BTreeMap<(Duration, u64), Waker>,
+    paused: BTreeMap<Owner, Vec<u64>>,
+    ended: BTreeSet<Owner>,
+}
+
+/// The clock and the tasks.
+#[derive(Clone, Default)]
+pub struct Clock(Arc<Mutex<State>>);
+
+struct Waking {
+    clock: Clock,
+    task: u64,
+}
+
+impl Wake for Waking {
+    fn wake(self: Arc<Self>) {
+        let mut state = self.clock.0.lock().unwrap();
+        if state.tasks.contains_key(&self.task) && state.queued.insert(self.task) {
+            state.ready.push_back(self.task);
+        }
+    }
+}
+
+impl Clock {
+    /// Time since the beginning.
+    pub fn now(&self) -> Duration {
+        self.0.lock().unwrap().now
+    }
+
+    /// Starts a task of a process.
+    pub fn start(&self, owner: Owner, work: BoxFuture<'static, ()>) {
+        let mut state = self.0.lock().unwrap();
+        if state.ended.contains(&owner) {
+            drop(state);
+            return drop(work);
+        }
+        state.last += 1;
+        let id = state.last;
+        let work = Some(work);
+        state.tasks.insert(id, Task { owner, work });
+        state.queued.insert(id);
+        state.ready.push_back(id);
+    }
+
+    /// Waits for a time on this clock.
+    pub fn sleep(&self, delay: Duration) -> BoxFuture<'static, ()> {
+        let clock = self.clone();
+        let until = clock.now() + delay;
+        let mut set = false;
+        Box::pin(std::future::poll_fn(move |cx| {
+            let mut state = clock.0.lock().unwrap();
+            if set && state.now >= until {
+                return Poll::Ready(());
+            }
+            set = true;
+            state.last += 1;
+            let number = state.last;
+            state.timers.insert((until, number), cx.waker().clone());
+            Poll::Pending
+        }))
+    }
+
+    /// Stops a process; time goes on without it.
+    pub fn pause(&self, owner: Owner) {
+        self.0.lock().unwrap().paused.entry(owner).or_default();
+    }
+
+    /// Lets a paused process go on.
+    pub fn resume(&self, owner: Owner) {
+        let mut state = self.0.lock().unwrap();
+        let held = state.paused.remove(&owner).unwrap_or_default();
+        state.ready.extend(held);
+    }
+
+    /// Drops everything that a process runs.
+    pub fn end(&self, owner: Owner) {
+        let mut state = self.0.lock().unwrap();
+        state.ended.insert(owner);
+        state.paused.remove(&owner);
+        let of_owner = |(id, task): (&u64, &Task)| (task.owner == owner).then_some(*id);
+        let ids: Vec<_> = state.tasks.iter().filter_map(of_owner).collect();
+        let dropped: Vec<_> = ids.iter().map(|id| state.tasks.remove(id)).collect();
+        for id in &ids {
+            state.queued.remove(id);
+        }
+        drop(state);
+        drop(dropped);
+    }
+
+    /// Runs everything that happens up to a time.
+    pub fn run_until(&self, end: Duration, mut tick: impl FnMut()) {
+        loop {
+            while self.run_one() {}
+            tick();
+            let mut state = self.0.lock().unwrap();
+            let next = state.timers.keys().next().map(|(at, _)| *at);
+            let Some(at) = next.filter(|at| *at <= end) else {
+                state.now = state.now.max(end);
+                return;
+            };
+            state.now = state.now.max(at);
+            let due = state.timers.split_off(&(at + Duration::from_nanos(1), 0));
+            let due = std::mem::replace(&mut state.timers, due);
+            drop(state);
+            due.into_values().for_each(Waker::wake);
+        }
+    }
+
+    fn run_one(&self) -> bool {
+        let mut state = self.0.lock().unwrap();
+        let Some(id) = state.ready.pop_front() else {
+            return false;
+        };
+        let Some(owner) = state.tasks.get(&id).map(|task| task.owner) else {
+            return true;
+        };
+        if let Some(held) = state.paused.get_mut(&owner) {
+            held.push(id);
+            return true;
+        }
+        state.queued.remove(&id);
+        let work = state.tasks.get_mut(&id).and_then(|task| task.work.take());
+        drop(state);
+        let Some(mut work) = work else {
+            return true;
+        };
+        let clock = self.clone();
+        let waker = Waker::from(Arc::new(Waking { clock, task: id }));
+        let polled = work.as_mut().poll(&mut Context::from_waker(&waker));
+        let mut state = self.0.lock().unwrap();
+        if polled.is_ready() {
+            state.tasks.remove(&id);
+            state.queued.remove(&id);
+        } else if let Some(task) = state.tasks.get_mut(&id) {
+            task.work = Some(work);
+            return true;
+        }
+        drop(state);
+        drop(work);
+        true
+    }
+
+    /// The runtime of one process.
+    pub fn runtime(&self, owner: Owner, seed: u64) -> runtime::Runtime {
+        let [reads, waits, starts] = [self.clone(), self.clone(), self.clone()];
+        let rng = Mutex::new(fastrand::Rng::with_seed(seed));
+        runtime::Runtime {
+            timers: timers::Timers {
+                read: Arc::new(move || reads.now()),
+                wait: Arc::new(move |delay| waits.sleep(delay)),
+            },
+            start: Arc::new(move |task| starts.start(owner, task)),
+            random: Arc::new(move || rng.lock().unwrap().u64(..)),
+        }
+    }
+}
