--- a/src/agent/beats.rs
+++ b/src/agent/beats.rs
@@ -32,7 +32,8 @@
     });
 }
 
-async fn read_routers(agent: &Agent) -> Option<Vec<name::Name>> {
+/// Addresses of the routers.
+pub async fn read_routers(agent: &Agent) -> Option<Vec<name::Name>> {
     match (agent.vms.read)().await {
         Ok(vms) => {
             let routers = vms
@@ -47,7 +48,8 @@
     }
 }
 
-async fn beat(agent: Arc<Agent>, address: name::Name) {
+/// Sends one heartbeat to a router.
+pub async fn beat(agent: Arc<Agent>, address: name::Name) {
     let call = messages::RouterCall::Beat(messages::AgentBeat {
         member: agent.member.clone(),
         service: agent.settings.service.clone(),
