Use the token logic in the daemons: batched refills, draws, lost attempts, recovery

Cause: the router drew one budget at a time from the store alone, kept the reservation of a lost attempt for ever, and nothing settled the tokens of a dead router. Change: requests that wait for one bucket share a write; grants follow demand and idle ones are returned; routers draw from one another; lost attempts are resolved through the agent's receipts; agents are registered, and named in the holder's record, before work is given; a dead router is fenced, its agents' receipts collected and its tokens freed; a leaving router returns what is left. Conclusion: tokens are in force through the whole life of a router.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -1,7 +1,6 @@
 //! The agent: runs requests at the backend server beside it.
 
 use std::{
-    collections::HashSet,
     net::TcpListener,
     sync::{
         Arc, Mutex,
@@ -23,6 +22,7 @@
 mod attempt;
 mod beats;
 mod calls;
+mod fences;
 mod usage;
 
 const IDLE_POLL: Duration = Duration::from_millis(50);
@@ -54,7 +54,6 @@
     vms: vms::Vms,
     backend: backend::Backend,
     receipts: Mutex<receipt_log::ReceiptLog>,
-    fenced: Mutex<HashSet<member::Incarnation>>,
     config: AtomicU64,
     fences: AtomicU64,
     running: AtomicU32,
@@ -80,7 +79,6 @@
             vms: parts.vms,
             backend: parts.backend,
             receipts: Mutex::default(),
-            fenced: Mutex::default(),
             config: AtomicU64::new(0),
             fences: AtomicU64::new(0),
             running: AtomicU32::new(0),
@@ -103,10 +101,16 @@
             .lock()
             .unwrap()
             .acknowledge(req.holder, req.acked);
-        match admission::admit(self, &req) {
+        let open = match fences::open(self, &req) {
+            Ok(open) => open,
+            Err(refused) => return refused,
+        };
+        let outcome = match admission::admit(self, &req) {
             Ok(_running) => attempt::run(self, &req, &tx).await,
             Err(refused) => refused,
-        }
+        };
+        open.end();
+        outcome
     }
 
     /// Requests that run now.
--- a/src/agent/admission.rs
+++ b/src/agent/admission.rs
@@ -31,9 +31,6 @@
         stale.config = newest;
         return Err(stale);
     }
-    if agent.fenced.lock().unwrap().contains(&req.holder) {
-        return refuse(Code::Fenced, "the holder is fenced");
-    }
     let taken = agent.running.fetch_add(1, Ordering::Relaxed);
     let running = Running(&agent.running);
     if taken >= agent.settings.slots {
--- a/src/agent/calls.rs
+++ b/src/agent/calls.rs
@@ -30,6 +30,10 @@
                 self.fence(revision, &holders);
                 messages::AgentReply::Fenced(self.fences.load(Ordering::Relaxed))
             }
+            messages::AgentCall::Cancel { agent, id, .. } if self.is(agent) => {
+                self.forbid(id);
+                messages::AgentReply::Done
+            }
             messages::AgentCall::Ping { versions } => {
                 self.config.fetch_max(versions.config, Ordering::Relaxed);
                 messages::AgentReply::Pong {
@@ -61,12 +65,6 @@
         run::RunOutcome::not_run(Code::NoBackend, message)
     }
 
-    /// Refuses work of more holders from now on.
-    pub fn fence(&self, revision: u64, holders: &[member::Incarnation]) {
-        self.fenced.lock().unwrap().extend(holders);
-        self.fences.fetch_max(revision, Ordering::Relaxed);
-    }
-
     /// Load that is reported.
     pub fn load(&self) -> roster::Load {
         roster::Load {
--- a/src/coordination/account.rs
+++ b/src/coordination/account.rs
@@ -18,6 +18,10 @@
     pub withheld: u64,
     /// Tokens asked for since the demand was last updated.
     pub asked: u64,
+    /// Free tokens of the ledger, as last read.
+    pub free: u64,
+    /// Tokens free or in the hands of others, as last read.
+    pub elsewhere: u64,
     /// Rate at which tokens are asked for.
     pub demand: demand::Demand,
 }
--- a/src/coordination/closing.rs
+++ b/src/coordination/closing.rs
@@ -63,15 +63,15 @@
     }
 
     /// Counts the work of a dead holder at a replaced agent as unknown, unless the holder's
-    /// record says that nothing of it was open.
+    /// record shows that there was none.
     pub fn lose(&mut self, agent: member::Incarnation, holder: member::Incarnation) {
         let record = self.dead.get(&holder);
-        if !record.is_some_and(|record| record.resolved.contains(&agent)) {
+        if record.is_some_and(|record| record.agents.contains(&agent)) {
             self.lost.insert(holder);
         }
     }
 
-    /// Numbers of the buckets that the dead holders may hold tokens in.
+    /// Budgets that the records and receipts name.
     pub fn budgets(&self) -> BTreeSet<name::Name> {
         let recorded = self.dead.values().flat_map(|record| record.budgets.keys());
         let charged = self.uncovered.iter().map(|u| &u.receipt.budget);
@@ -79,6 +79,18 @@
         recorded.chain(charged).chain(live).cloned().collect()
     }
 
+    /// Whether a dead holder has a share or figures in a bucket, or a closed one has a share.
+    pub fn concerns(&self, number: u64, bucket: &ledger::Bucket) -> bool {
+        let gone = |holder: &member::Incarnation| {
+            self.dead.contains_key(holder) || self.closed.contains(holder)
+        };
+        let mut entries = bucket.entries.values();
+        let shared = entries.any(|entry| entry.shares.keys().any(gone));
+        let budgets = self.budgets();
+        let mut numbers = budgets.iter().map(|budget| ledger::bucket_of(budget));
+        shared || numbers.any(|found| found == number)
+    }
+
     /// Settles one bucket; does nothing to holders that are done in it.
     ///
     /// Returns what became of each budget, or `None` when nothing was left to do.
--- a/src/coordination/escrow.rs
+++ b/src/coordination/escrow.rs
@@ -33,7 +33,7 @@
     gate: RwLock<()>,
     agents: RwLock<Agents>,
     accounts: RwLock<Accounts>,
-    resolved: Mutex<BTreeSet<member::Incarnation>>,
+    used: Mutex<BTreeSet<member::Incarnation>>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -133,9 +133,23 @@
         agents.entry(agent).or_default().clone()
     }
 
-    /// Remembers that nothing is open at a replaced agent, and that nothing ever will be.
-    pub fn resolve(&self, agent: member::Incarnation) {
-        lock(&self.resolved).insert(agent);
+    /// Notes an agent in the record before work is given to it.
+    pub fn admit(&self, agent: member::Incarnation) {
+        lock(&self.used).insert(agent);
+    }
+
+    /// Drops an agent at which nothing is open, and to which no work is given any more.
+    pub fn dismiss(&self, agent: member::Incarnation) {
+        lock(&self.used).remove(&agent);
+    }
+
+    /// Tokens reserved in all budgets together.
+    pub fn reserved(&self) -> u64 {
+        let accounts = self.accounts.read().unwrap_or_else(PoisonError::into_inner);
+        accounts
+            .values()
+            .map(|account| lock(account).reserved)
+            .sum()
     }
 
     /// Names of all budgets that this holder has dealt with, in order.
@@ -183,7 +197,7 @@
             state: holder_record::HolderState::Live,
             budgets: figures.collect(),
             covered,
-            resolved: lock(&self.resolved).clone(),
+            agents: lock(&self.used).clone(),
         }
     }
 }
--- a/src/coordination/receipt_log.rs
+++ b/src/coordination/receipt_log.rs
@@ -4,15 +4,12 @@
 
 use crate::state::{member, name, receipt};
 
-/// Attempts that may be forbidden for one holder at a time.
-const MAX_FORBIDDEN: usize = 65_536;
-
 /// Why an attempt must not begin.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Barred {
     /// The holder is fenced.
     Fenced,
-    /// The holder has been told that this attempt does not run.
+    /// The holder has been told that the request does not begin here any more.
     Forbidden,
     /// This attempt was begun before.
     Repeated,
@@ -34,6 +31,7 @@
 pub struct ReceiptLog {
     holders: HashMap<member::Incarnation, HolderReceipts>,
     fenced: BTreeSet<member::Incarnation>,
+    forbidden: BTreeSet<name::Name>,
 }
 
 #[derive(Debug, Default)]
@@ -41,7 +39,6 @@
     last: u64,
     kept: BTreeMap<u64, receipt::Receipt>,
     open: BTreeMap<AttemptId, Open>,
-    forbidden: BTreeSet<AttemptId>,
 }
 
 impl ReceiptLog {
@@ -70,11 +67,11 @@
         if self.fenced.contains(&holder) {
             return Err(Barred::Fenced);
         }
-        let receipts = self.holders.entry(holder).or_default();
-        let id = (request, attempt);
-        if receipts.forbidden.contains(&id) {
+        if self.forbidden.contains(&request) {
             return Err(Barred::Forbidden);
         }
+        let receipts = self.holders.entry(holder).or_default();
+        let id = (request, attempt);
         if receipts.open.contains_key(&id) {
             return Err(Barred::Repeated);
         }
@@ -89,24 +86,17 @@
         receipts.open.remove(&id).is_some()
     }
 
-    /// Promises never to begin an attempt; returns false when too many are forbidden already.
+    /// Promises to begin no attempt of a request any more.
     ///
     /// ```
-    /// let mut log = fulmarproxy::coordination::receipt_log::ReceiptLog::default();
-    /// assert!(log.forbid(1, "r".into(), 0));
+    /// use fulmarproxy::coordination::receipt_log;
+    /// let mut log = receipt_log::ReceiptLog::default();
+    /// log.forbid("r".into());
+    /// let open = receipt_log::Open { budget: "desk".into(), bound: 5 };
+    /// assert!(log.begin(1, "r".into(), 0, open).is_err());
     /// ```
-    pub fn forbid(
-        &mut self,
-        holder: member::Incarnation,
-        request: name::Name,
-        attempt: u32,
-    ) -> bool {
-        let receipts = self.holders.entry(holder).or_default();
-        if receipts.forbidden.len() >= MAX_FORBIDDEN {
-            return false;
-        }
-        receipts.forbidden.insert((request, attempt));
-        true
+    pub fn forbid(&mut self, request: name::Name) {
+        self.forbidden.insert(request);
     }
 
     /// Promises to begin nothing more for some holders.
--- a/src/router.rs
+++ b/src/router.rs
@@ -21,11 +21,17 @@
 pub mod ask;
 mod billing;
 mod calls;
+mod draw;
 pub mod exchange;
 pub mod follow;
 mod front;
 mod members;
+mod record;
+mod recovery;
+mod refill;
+mod registry;
 pub mod request;
+mod resolve;
 
 const IDLE_POLL: Duration = Duration::from_millis(50);
 
@@ -63,6 +69,9 @@
     fences: Mutex<fences::Fences>,
     escrow: escrow::Escrow,
     billing: billing::Billing,
+    registry: registry::Registry,
+    resolve: resolve::Resolve,
+    recovery: recovery::Recovery,
     in_flight: AtomicU32,
     leaving: AtomicBool,
 }
@@ -91,6 +100,9 @@
             fences: Mutex::default(),
             escrow: escrow::Escrow::default(),
             billing: billing::Billing::default(),
+            registry: registry::Registry::default(),
+            resolve: resolve::Resolve::default(),
+            recovery: recovery::Recovery::default(),
             in_flight: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
         })
@@ -100,6 +112,9 @@
     pub fn start(self: &Arc<Self>) {
         follow::start(self.clone());
         billing::start(self.clone());
+        registry::start(self.clone());
+        resolve::start(self.clone());
+        recovery::start(self.clone());
         members::start(self.clone());
     }
 
@@ -113,6 +128,9 @@
         if self.leaving.load(Ordering::Relaxed) {
             return Some("leaving".to_owned());
         }
+        if self.billing.is_fenced() {
+            return Some("fenced: other routers settle its tokens".to_owned());
+        }
         let version = self.config().config.version;
         (version == 0).then(|| "no configuration has been read yet".to_owned())
     }
@@ -120,7 +138,10 @@
     /// A summary as JSON.
     pub fn status(&self) -> String {
         let roster = self.roster.lock().unwrap();
-        let agents: Vec<_> = roster.all().map(|agent| &agent.member.name).collect();
+        let registered = roster
+            .all()
+            .filter(|agent| self.registry.admits(agent.member.incarnation));
+        let agents: Vec<_> = registered.map(|agent| &agent.member.name).collect();
         serde_json::json!({
             "member": self.member,
             "config": self.config().config.version,
@@ -141,7 +162,7 @@
             }
         };
         timers.within(self.settings.drain, idle).await;
-        billing::flush(self).await;
+        billing::hand_back(self).await;
     }
 }
 
@@ -199,7 +220,7 @@
     tracing::info!("router: leaving.");
     router.leave().await;
     front.shut_down().await;
-    billing::flush(&router).await;
+    record::flush(&router).await;
     drop(accepting);
     admin.shut_down().await;
     Ok(())
--- a/src/router/billing.rs
+++ b/src/router/billing.rs
@@ -1,153 +1,233 @@
-//! Moves tokens between the ledger and this router, and writes the holder's record.
+//! Reserves tokens for requests and keeps the router's grants at the size of its demand.
 
 use std::{
+    collections::{BTreeMap, BTreeSet},
     sync::{
-        Arc, Mutex,
-        atomic::{AtomicU64, Ordering},
+        Arc, Mutex, RwLock,
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
 
+use metrics::counter;
+
 use crate::{
     code::Code,
-    error,
-    protocol::kv,
-    router::Router,
-    state::{holder_record, ledger, name},
-    transport::store,
+    coordination::{demand, refill as steps},
+    router::{Router, draw, record, refill},
+    state::{holder_record, ledger, member, name},
 };
 
-const FLUSH_PERIOD: Duration = Duration::from_secs(1);
-const GRANT_ATTEMPTS: u32 = 16;
-const GRANT_MULTIPLE: u64 = 16;
-const FREE_DIVISOR: u64 = 8;
+const TICK: Duration = Duration::from_secs(1);
+
+/// Longest time that a request waits for reservations about to settle.
+const WAIT_LIMIT: Duration = Duration::from_secs(2);
+
+const WAIT_POLL: Duration = Duration::from_millis(50);
 
 /// What billing remembers between calls.
+///
+/// Lock order: a bucket, `flushing`, `promised`, `written`; `pending` alone.
 #[derive(Debug)]
 pub struct Billing {
-    buckets: Vec<smol::lock::Mutex<()>>,
-    revision: AtomicU64,
-    seq: AtomicU64,
-    written: Mutex<Option<holder_record::HolderRecord>>,
+    /// Serialises the writes of each bucket.
+    pub buckets: Vec<smol::lock::Mutex<()>>,
+    /// Tokens that requests wait for, by budget.
+    pub pending: Mutex<BTreeMap<name::Name, u64>>,
+    /// Serialises the writes of the holder's record.
+    pub flushing: smol::lock::Mutex<()>,
+    /// Revision of the holder's record; zero before the first write.
+    pub revision: AtomicU64,
+    /// Whether the record exists and the fences written before it are known.
+    pub ready: AtomicBool,
+    /// Record last known to be written.
+    pub written: Mutex<Option<holder_record::HolderRecord>>,
+    /// Holders that this router trades no tokens with any more.
+    pub promised: RwLock<BTreeSet<member::Incarnation>>,
+    /// Whether the store failed at the last call.
+    pub store_down: AtomicBool,
+    /// Incarnations of peers by address.
+    pub peers: Mutex<BTreeMap<name::Name, member::Incarnation>>,
+    fenced: AtomicBool,
 }
 
 impl Default for Billing {
     fn default() -> Self {
+        let buckets = (0..ledger::BUCKETS).map(|_| smol::lock::Mutex::new(()));
         Self {
-            buckets: (0..ledger::BUCKETS)
-                .map(|_| smol::lock::Mutex::new(()))
-                .collect(),
+            buckets: buckets.collect(),
+            pending: Mutex::default(),
+            flushing: smol::lock::Mutex::new(()),
             revision: AtomicU64::new(0),
-            seq: AtomicU64::new(0),
+            ready: AtomicBool::new(false),
             written: Mutex::default(),
+            promised: RwLock::default(),
+            store_down: AtomicBool::new(false),
+            peers: Mutex::default(),
+            fenced: AtomicBool::new(false),
         }
     }
 }
 
-/// Starts writing the holder's record.
+impl Billing {
+    /// Highest receipt number of an agent up to which all are durable.
+    pub fn acked(&self, agent: member::Incarnation) -> u64 {
+        let written = self.written.lock().unwrap();
+        let covered = written.as_ref().and_then(|w| w.covered.get(&agent));
+        covered.map_or(0, |covered| covered.through)
+    }
+
+    /// Whether other routers settle the tokens of this incarnation.
+    pub fn is_fenced(&self) -> bool {
+        self.fenced.load(Ordering::Relaxed)
+    }
+
+    /// Spends no more from now on.
+    pub fn stop(&self) {
+        if !self.fenced.swap(true, Ordering::Relaxed) {
+            tracing::error!("billing: this router is fenced and takes no more requests.");
+        }
+    }
+}
+
+/// Starts the upkeep of grants and of the holder's record.
 pub fn start(router: Arc<Router>) {
     let runtime = router.runtime.clone();
     runtime.spawn(async move {
-        let ticks = router.runtime.every(FLUSH_PERIOD);
+        let ticks = router.runtime.every(TICK);
         while ticks.recv().await.is_ok() {
-            flush(&router).await;
+            record::flush(&router).await;
+            if router.billing.is_fenced() {
+                return;
+            }
+            upkeep(&router).await;
         }
     });
 }
 
-/// Writes the holder's record if it changed.
-pub async fn flush(router: &Router) {
-    if let Err(err) = try_flush(router).await {
-        tracing::warn!("billing: {err}.");
+/// Grants ahead of the demand and returns what is idle, with one write per bucket.
+async fn upkeep(router: &Router) {
+    let now = router.runtime.timers.now();
+    let mut changes: BTreeMap<u64, BTreeMap<name::Name, steps::Change>> = BTreeMap::new();
+    for budget in router.escrow.budgets() {
+        if let Some(change) = wanted_change(router, &budget, now) {
+            let bucket = changes.entry(ledger::bucket_of(&budget)).or_default();
+            bucket.insert(budget, change);
+        }
+    }
+    for (bucket, changes) in changes {
+        let _turn = router.billing.buckets[bucket as usize].lock().await;
+        if refill::write(router, bucket, changes).await.is_err() {
+            return;
+        }
     }
 }
 
-async fn try_flush(router: &Router) -> Result<(), error::Error> {
-    let billing = &router.billing;
-    let seq = billing.seq.load(Ordering::Relaxed);
-    let mut record = router.escrow.snapshot(&router.member, seq);
-    if billing.written.lock().unwrap().as_ref() == Some(&record) {
-        return Ok(());
-    }
-    record.seq = billing.seq.fetch_add(1, Ordering::Relaxed) + 1;
-    let key = format!("{}{}", store::HOLDER_PREFIX, router.member.incarnation);
-    let expected = billing.revision.load(Ordering::Relaxed);
-    match router.store.put_if(&key, &record, expected, 0).await? {
-        store::Put::Written(revision) => {
-            billing.revision.store(revision, Ordering::Relaxed);
-            *billing.written.lock().unwrap() = Some(record);
-        }
-        store::Put::Conflict(found) => {
-            let revision = found.map_or(0, |kv| kv.mod_revision.0);
-            billing.revision.store(revision, Ordering::Relaxed);
+fn wanted_change(router: &Router, budget: &name::Name, now: Duration) -> Option<steps::Change> {
+    let config = router.config();
+    let object = config.config.set.budgets.get(budget)?;
+    let autonomy = Duration::from_secs(object.autonomy_seconds);
+    router.escrow.with(budget, |account| {
+        account.demand.note(account.asked, now);
+        account.asked = 0;
+        let target = account.demand.target(autonomy);
+        let available = account.available();
+        account.withhold(demand::idle(available, target));
+        if account.withheld > 0 {
+            return Some(steps::Change::Return(account.withheld));
         }
-    }
-    Ok(())
+        let missing = target.saturating_sub(available);
+        let low = available < target / 2 && account.free > 0;
+        low.then_some(steps::Change::Grant { needed: 0, missing })
+    })
 }
 
-/// Sets tokens aside, drawing from the ledger when the router has too few.
+/// Sets tokens aside; draws from the ledger and from peers when the router has too few, and
+/// waits a little for reservations that are about to settle.
 ///
 /// # Errors
 ///
 /// [`Code::BudgetSpent`] when the budget is spent, [`Code::BudgetUnreachable`] when tokens are
 /// left that this router cannot reach now.
 pub async fn reserve(router: &Router, budget: &name::Name, tokens: u64) -> Result<(), Code> {
+    if router.billing.is_fenced() {
+        return Err(Code::NotReady);
+    }
     if router.escrow.reserve(budget, tokens).is_ok() {
         return Ok(());
     }
-    let bucket = ledger::bucket_of(budget);
-    let _turn = router.billing.buckets[bucket as usize].lock().await;
-    let Err(short) = router.escrow.reserve(budget, tokens) else {
-        return Ok(());
-    };
-    let left = refill(router, budget, tokens - short.available.min(tokens)).await;
-    match (router.escrow.reserve(budget, tokens), left) {
-        (Ok(()), _) => Ok(()),
-        (Err(_), Ok(0)) => Err(Code::BudgetSpent),
-        (Err(_), Ok(_)) => Err(Code::BudgetUnreachable),
-        (Err(_), Err(err)) => {
-            tracing::warn!("billing: {err}.");
-            Err(Code::BudgetUnreachable)
+    let start = router.runtime.timers.now();
+    let found = fetch(router, budget, tokens).await;
+    loop {
+        let Err(short) = router.escrow.reserve(budget, tokens) else {
+            return Ok(());
+        };
+        let waited = router.runtime.timers.now().saturating_sub(start);
+        if waited >= WAIT_LIMIT || short.available + short.reserved < tokens {
+            break;
         }
+        counter!("fulmar_reserve_waits").increment(1);
+        router.runtime.timers.sleep(WAIT_POLL).await;
+    }
+    match found {
+        Found::Nothing => Err(Code::BudgetSpent),
+        Found::Unknown => Err(Code::BudgetUnreachable),
     }
 }
 
-/// Draws from the ledger; returns the tokens that others hold or that are still free.
-async fn refill(router: &Router, budget: &name::Name, needed: u64) -> Result<u64, error::Error> {
-    let key = format!("{}{:03}", store::LEDGER_PREFIX, ledger::bucket_of(budget));
-    let in_force = router.config();
-    let Some(object) = in_force.config.set.budgets.get(budget) else {
-        return Ok(0);
-    };
-    let holder = router.member.incarnation;
-    let mut found = router.store.get(&key).await?;
-    for _ in 0..GRANT_ATTEMPTS {
-        let mut bucket: ledger::Bucket = match &found {
-            Some(kv) => kv::decode(kv)?,
-            None => ledger::Bucket::default(),
-        };
-        let entry = bucket.entries.entry(budget.clone()).or_default();
-        entry.adopt(object.prepaid_tokens, in_force.config.version);
-        let wanted = needed.max((needed * GRANT_MULTIPLE).min(entry.free() / FREE_DIVISOR));
-        entry.grant(holder, wanted);
-        let share = entry.shares[&holder].clone();
-        let left = entry.free() + others_granted(entry, holder);
-        let revision = found.as_ref().map_or(0, |kv| kv.mod_revision.0);
-        match router.store.put_if(&key, &bucket, revision, 0).await? {
-            store::Put::Written(_) => {
-                router.escrow.with(budget, |account| account.share = share);
-                return Ok(left);
-            }
-            store::Put::Conflict(newer) => found = newer,
-        }
+/// What a search for tokens showed of the rest.
+enum Found {
+    Nothing,
+    Unknown,
+}
+
+/// Fetches missing tokens from the ledger and from peers; from peers first while the store fails.
+async fn fetch(router: &Router, budget: &name::Name, tokens: u64) -> Found {
+    if router.billing.store_down.load(Ordering::Relaxed)
+        && draw::collect(router, budget, tokens).await.enough
+    {
+        return Found::Unknown;
     }
-    Err(error::Error::Store {
-        call: "put",
-        message: format!("{key} kept changing"),
-    })
+    let left = refill::take(router, budget, tokens).await;
+    let enough = router.escrow.with(budget, |a| a.available()) >= tokens;
+    match left {
+        _ if enough => return Found::Unknown,
+        Ok(0) => return Found::Nothing,
+        Ok(_) => {}
+        Err(err) => tracing::warn!("billing: {err}."),
+    }
+    let drawn = draw::collect(router, budget, tokens).await;
+    let spent = drawn.everything && drawn.free == 0;
+    match left_free(router, budget) {
+        Some(0) if spent => Found::Nothing,
+        _ => Found::Unknown,
+    }
+}
+
+/// Free tokens of a budget as last read; `None` while the store fails.
+fn left_free(router: &Router, budget: &name::Name) -> Option<u64> {
+    let down = router.billing.store_down.load(Ordering::Relaxed);
+    (!down).then(|| router.escrow.with(budget, |account| account.free))
 }
 
-fn others_granted(entry: &ledger::Entry, holder: u64) -> u64 {
-    let others = entry.shares.iter().filter(|(other, _)| **other != holder);
-    others.map(|(_, share)| share.granted).sum()
+/// Returns every token that is not needed any more and writes the last record.
+pub async fn hand_back(router: &Router) {
+    let mut changes: BTreeMap<u64, BTreeMap<name::Name, steps::Change>> = BTreeMap::new();
+    for budget in router.escrow.budgets() {
+        let withheld = router.escrow.with(&budget, |account| {
+            account.withhold(u64::MAX);
+            account.withheld
+        });
+        if withheld > 0 {
+            let bucket = changes.entry(ledger::bucket_of(&budget)).or_default();
+            bucket.insert(budget, steps::Change::Return(withheld));
+        }
+    }
+    for (bucket, changes) in changes {
+        let _turn = router.billing.buckets[bucket as usize].lock().await;
+        if let Err(err) = refill::write(router, bucket, changes).await {
+            tracing::warn!("billing: {err}.");
+        }
+    }
+    record::flush(router).await;
 }
--- a/src/router/calls.rs
+++ b/src/router/calls.rs
@@ -1,6 +1,9 @@
 //! Calls to a router from other members.
 
-use crate::{protocol::messages, router::Router};
+use crate::{
+    protocol::messages,
+    router::{Router, draw, recovery},
+};
 
 impl Router {
     /// Answers a call; `None` when another incarnation is meant or the call is not served.
@@ -8,6 +11,8 @@
         match call {
             messages::RouterCall::Beat(beat) => Some(self.take_beat(beat)),
             messages::RouterCall::Status => Some(messages::RouterReply::Status(self.status())),
+            messages::RouterCall::Draw { .. } => draw::answer(self, call).await,
+            messages::RouterCall::Flows { .. } => recovery::answer(self, call).await,
             _ => None,
         }
     }
--- a/src/router/exchange.rs
+++ b/src/router/exchange.rs
@@ -8,7 +8,7 @@
     code::Code,
     coordination::balance,
     protocol::run,
-    router::{Router, billing, request},
+    router::{Router, billing, request, resolve},
     state::{member, name},
     transport::{fleet, timers},
 };
@@ -79,7 +79,8 @@
 fn choose(router: &Router, req: &request::Request, tried: &[name::Name]) -> Option<Target> {
     let now = router.runtime.timers.now();
     let mut roster = router.roster.lock().unwrap();
-    let candidates: Vec<_> = roster.available(&req.services, now).collect();
+    let mut candidates: Vec<_> = roster.available(&req.services, now).collect();
+    candidates.retain(|agent| router.registry.admits(agent.member.incarnation));
     let zone = &router.member.zone;
     let agent = balance::choose(&candidates, zone, tried, &mut router.runtime.rng())?;
     let target = Target {
@@ -110,7 +111,7 @@
         bound: req.bound,
         deadline: left,
         priority: req.route.priority,
-        acked: 0,
+        acked: router.billing.acked(target.member.incarnation),
         key: req.key.clone(),
         fingerprint: req.fingerprint,
         body: req.body.clone(),
@@ -196,5 +197,7 @@
         router.escrow.release(&req.budget, req.bound);
     } else if !outcome.ran {
         router.escrow.release(&req.budget, req.bound);
+    } else {
+        resolve::later(router, req, &target.member);
     }
 }
--- /dev/null
+++ b/src/router/resolve.rs
@@ -0,0 +1,189 @@
+//! Finds out what became of attempts whose outcome was lost.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use metrics::counter;
+
+use crate::{
+    protocol::{messages, vm_list},
+    router::{Router, request},
+    state::{member, name, receipt},
+    transport::timers,
+};
+
+const PERIOD: Duration = Duration::from_secs(1);
+const LIMIT: Duration = Duration::from_secs(2);
+
+/// An attempt that may have run; its tokens stay reserved.
+#[derive(Clone, Debug)]
+struct Lost {
+    agent: member::Member,
+    request: name::Name,
+    budget: name::Name,
+    bound: u64,
+    /// Time at which the request is over, whatever became of it.
+    over: timers::Now,
+}
+
+/// The lost attempts of a router.
+#[derive(Debug, Default)]
+pub struct Resolve {
+    lost: Mutex<Vec<Lost>>,
+}
+
+/// Whether an agent incarnation still answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Presence {
+    /// The incarnation answers.
+    Same,
+    /// Another incarnation has taken its place, or its VM is gone.
+    Replaced,
+    /// Nobody answers.
+    Silent,
+}
+
+/// Keeps the reservation of an attempt until its agent tells what became of it.
+pub fn later(router: &Router, req: &request::Request, agent: &member::Member) {
+    let lost = Lost {
+        agent: agent.clone(),
+        request: req.id.clone(),
+        budget: req.budget.clone(),
+        bound: req.bound,
+        over: router.runtime.timers.now() + req.deadline,
+    };
+    counter!("fulmar_lost_attempts").increment(1);
+    router.resolve.lost.lock().unwrap().push(lost);
+}
+
+/// Starts asking.
+pub fn start(router: Arc<Router>) {
+    let runtime = router.runtime.clone();
+    runtime.spawn(async move {
+        let ticks = router.runtime.every(PERIOD);
+        while ticks.recv().await.is_ok() {
+            run(&router).await;
+        }
+    });
+}
+
+async fn run(router: &Router) {
+    let lost = std::mem::take(&mut *router.resolve.lost.lock().unwrap());
+    let mut by_agent: BTreeMap<member::Incarnation, Vec<Lost>> = BTreeMap::new();
+    for lost in lost {
+        by_agent
+            .entry(lost.agent.incarnation)
+            .or_default()
+            .push(lost);
+    }
+    for lost in by_agent.into_values() {
+        let open = ask(router, lost).await;
+        router.resolve.lost.lock().unwrap().extend(open);
+    }
+}
+
+/// Asks one agent; returns the attempts that are still open.
+async fn ask(router: &Router, lost: Vec<Lost>) -> Vec<Lost> {
+    let agent = lost[0].agent.clone();
+    match presence(router, &agent).await {
+        Presence::Replaced => {
+            for lost in &lost {
+                router.escrow.write_off(&lost.budget, lost.bound);
+                counter!("fulmar_written_off_tokens").increment(lost.bound);
+            }
+            return Vec::new();
+        }
+        Presence::Silent => return lost,
+        Presence::Same => {}
+    }
+    let now = router.runtime.timers.now();
+    let mut forbidden = Vec::new();
+    for lost in lost.iter().filter(|lost| lost.over <= now) {
+        if forbid(router, lost).await {
+            forbidden.push(lost.request.clone());
+        }
+    }
+    let holder = router.member.incarnation;
+    let after = router.escrow.covered_through(agent.incarnation);
+    let Some(receipts) = receipts(router, &agent, holder, after).await else {
+        return lost;
+    };
+    for receipt in receipts.iter().filter(|receipt| receipt.is_charged()) {
+        if router.escrow.settle(agent.incarnation, receipt) {
+            counter!("fulmar_synced_receipts").increment(1);
+        }
+    }
+    let runs = |request: &name::Name| {
+        let mut open = receipts.iter().filter(|receipt| !receipt.is_charged());
+        open.any(|receipt| receipt.request == *request)
+    };
+    let (done, open) = lost
+        .into_iter()
+        .partition::<Vec<_>, _>(|l| forbidden.contains(&l.request) && !runs(&l.request));
+    for lost in done {
+        router.escrow.release(&lost.budget, lost.bound);
+    }
+    open
+}
+
+/// Has an agent promise to begin no attempt of a request any more.
+async fn forbid(router: &Router, lost: &Lost) -> bool {
+    let call = messages::AgentCall::Cancel {
+        agent: lost.agent.incarnation,
+        id: lost.request.clone(),
+        attempt: 0,
+    };
+    let asked = (router.fleet.agent)(lost.agent.address.clone(), call);
+    let answer = router.runtime.timers.within(LIMIT, asked).await;
+    matches!(answer, Some(Ok(_)))
+}
+
+/// Asks an agent for the receipts of a holder; `None` when that incarnation does not answer.
+pub async fn receipts(
+    router: &Router,
+    agent: &member::Member,
+    holder: member::Incarnation,
+    after: u64,
+) -> Option<Vec<receipt::Receipt>> {
+    let call = messages::AgentCall::Receipts {
+        agent: agent.incarnation,
+        holder,
+        after,
+    };
+    let asked = (router.fleet.agent)(agent.address.clone(), call);
+    match router.runtime.timers.within(LIMIT, asked).await {
+        Some(Ok(messages::AgentReply::Receipts(receipts))) => Some(receipts),
+        _ => None,
+    }
+}
+
+/// Finds out whether an agent incarnation still answers.
+pub async fn presence(router: &Router, agent: &member::Member) -> Presence {
+    let call = messages::AgentCall::Ping {
+        versions: messages::Versions::default(),
+    };
+    let asked = (router.fleet.agent)(agent.address.clone(), call);
+    match router.runtime.timers.within(LIMIT, asked).await {
+        Some(Ok(messages::AgentReply::Pong { member, .. })) => {
+            match member.incarnation == agent.incarnation {
+                true => Presence::Same,
+                false => Presence::Replaced,
+            }
+        }
+        _ if is_gone(router, agent, vm_list::VmRole::Agent).await => Presence::Replaced,
+        _ => Presence::Silent,
+    }
+}
+
+/// Whether the list of VMs no longer names a member.
+pub async fn is_gone(router: &Router, member: &member::Member, role: vm_list::VmRole) -> bool {
+    let read = (router.vms.read)();
+    let Some(Ok(vms)) = router.runtime.timers.within(LIMIT, read).await else {
+        return false;
+    };
+    let mut listed = vms.iter().filter(|vm| vm.role == role);
+    !vms.is_empty() && !listed.any(|vm| vm.name == member.name || vm.address == member.address)
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -10,5 +10,6 @@
 pub mod object_set;
 pub mod pool;
 pub mod receipt;
+pub mod register;
 pub mod route;
 pub mod workspace;
--- a/src/state/holder_record.rs
+++ b/src/state/holder_record.rs
@@ -55,7 +55,7 @@
     pub budgets: BTreeMap<name::Name, HolderBudget>,
     /// Receipts counted, by agent incarnation.
     pub covered: BTreeMap<member::Incarnation, CoveredReceipts>,
-    /// Replaced agents that the holder has no open work at and never gives any again.
+    /// Agents that the holder may have open work at; written before the first work is given.
     #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
-    pub resolved: BTreeSet<member::Incarnation>,
+    pub agents: BTreeSet<member::Incarnation>,
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -170,6 +170,17 @@
         assert!(answered.is_ok(), "the list of VMs is set");
     }
 
+    /// Kills a router and takes its VM off the list.
+    pub fn kill_router(&mut self, index: usize) {
+        let router = self.routers.remove(index);
+        self.vms.retain(|vm| vm["name"] != *router.name);
+        drop(router);
+        let body = serde_json::to_vec(&self.vms).unwrap();
+        let conn = self.client.post(self.platform_url("/vms")).with_body(body);
+        let answered = smol::block_on(async { conn.await.unwrap().success() });
+        assert!(answered.is_ok(), "the list of VMs is set");
+    }
+
     pub fn add_router(&mut self) -> usize {
         let name = format!("entry-{}", self.routers.len());
         let router = self.daemon("router", &name, "a", &[]);
--- /dev/null
+++ b/tests/recovery.rs
@@ -0,0 +1,79 @@
+//! Tokens survive the routers that hold them, in real processes.
+
+mod common;
+
+use fulmarproxy::{
+    protocol::kv,
+    state::{holder_record, ledger},
+    transport::store,
+};
+use serde_json::{Value, json};
+
+const BUDGET: &str = "fjordforlaget";
+const KEY: &str = "fjordforlaget-key";
+
+fn question() -> Value {
+    json!({
+        "model": "quick",
+        "messages": [{ "role": "user", "content": "when is the brief due" }],
+        "max_tokens": 20,
+    })
+}
+
+fn fleet() -> common::Fleet {
+    let mut fleet = common::Fleet::start("haugland");
+    fleet.add_router();
+    fleet.add_router();
+    fleet.add_agent("fortelling", 100);
+    fleet.wait_ready(0, 1);
+    fleet.wait_ready(1, 1);
+    fleet
+}
+
+fn entry(fleet: &common::Fleet) -> ledger::Entry {
+    let store = store::Store::over_http(&fleet.platform_url(""));
+    let bucket = ledger::bucket_of(BUDGET);
+    let key = format!("{}{bucket:03}", store::LEDGER_PREFIX);
+    let found = smol::block_on(store.get(&key)).unwrap().unwrap();
+    let bucket: ledger::Bucket = kv::decode(&found).unwrap();
+    bucket.entries[BUDGET].clone()
+}
+
+fn holder_states(fleet: &common::Fleet) -> Vec<holder_record::HolderState> {
+    let store = store::Store::over_http(&fleet.platform_url(""));
+    let (found, _) = smol::block_on(store.list(store::HOLDER_PREFIX)).unwrap();
+    let records = found.iter().map(|kv| {
+        let record: holder_record::HolderRecord = kv::decode(kv).unwrap();
+        record.state
+    });
+    records.collect()
+}
+
+#[test]
+fn a_killed_router_is_fenced_and_its_tokens_come_back() {
+    let mut fleet = fleet();
+    let (status, body) = fleet.chat(0, KEY, &question());
+    assert_eq!(status, 200, "{body}");
+    assert_eq!(entry(&fleet).shares.len(), 1);
+    fleet.kill_router(0);
+    common::wait_for("the dead router to be closed", || {
+        holder_states(&fleet).contains(&holder_record::HolderState::Closed)
+    });
+    let entry = entry(&fleet);
+    assert!(entry.shares.is_empty());
+    assert_eq!(entry.closed, fleet.engine_tokens() as i64);
+    let (status, body) = fleet.chat(0, KEY, &question());
+    assert_eq!(status, 200, "{body}");
+}
+
+#[test]
+fn a_leaving_router_returns_what_it_did_not_spend() {
+    let fleet = fleet();
+    let (status, body) = fleet.chat(0, KEY, &question());
+    assert_eq!(status, 200, "{body}");
+    fleet.routers[0].signal("-TERM");
+    common::wait_for("the tokens to be returned", || {
+        let granted: u64 = entry(&fleet).shares.values().map(|s| s.granted).sum();
+        granted == fleet.engine_tokens()
+    });
+}
--- a/tests/token_world/mod.rs
+++ b/tests/token_world/mod.rs
@@ -115,9 +115,13 @@
     charges: Vec<Charge>,
     ran: BTreeMap<name::Name, u64>,
     written_off: BTreeMap<(usize, name::Name), u64>,
+    frozen: BTreeMap<(name::Name, u64, u64), Flow>,
     requests: u64,
 }
 
+/// Tokens that a holder ever gave to and received from another.
+type Flow = (Option<u64>, Option<u64>);
+
 type Checked = Result<(), String>;
 
 fn check(holds: bool, fault: impl FnOnce() -> String) -> Checked {
@@ -150,6 +154,7 @@
             charges: Vec::new(),
             ran: BTreeMap::new(),
             written_off: BTreeMap::new(),
+            frozen: BTreeMap::new(),
             requests: 0,
         };
         for _ in 0..3 {
@@ -182,11 +187,6 @@
         self.holders.push(holder);
         let last = self.holders.len() - 1;
         self.flush(last);
-        for (agent, state) in self.agents.iter().enumerate() {
-            if !state.alive {
-                self.holders[last].escrow.resolve(agent as u64);
-            }
-        }
     }
 
     fn add_agent(&mut self) {
@@ -234,8 +234,9 @@
     fn dispatch(&mut self, holder: usize, agent: usize) {
         let (budget, bound) = (self.budget(), self.rng.u64(1..25));
         let state = &mut self.holders[holder];
-        let resolved = state.escrow.snapshot(&state.member, 0).resolved;
-        if state.crashed || state.paused || state.stopped || resolved.contains(&(agent as u64)) {
+        let agents = &self.records[&state.member.incarnation].agents;
+        let admitted = agents.contains(&(agent as u64));
+        if state.crashed || state.paused || state.stopped || !admitted {
             return;
         }
         if state.escrow.reserve(&budget, bound).is_err() {
@@ -587,7 +588,9 @@
         for (agent, known) in self.agents.iter().enumerate() {
             let open = state.attempts.values().any(|a| a.agent == agent);
             if !known.alive && !open {
-                state.escrow.resolve(agent as u64);
+                state.escrow.dismiss(agent as u64);
+            } else if known.alive {
+                state.escrow.admit(agent as u64);
             }
         }
         state.seq += 1;
@@ -666,7 +669,7 @@
         let incarnation = self.holders[holder].member.incarnation;
         let after = self.holders[holder].escrow.covered_through(agent as u64);
         let log = &mut self.agents[agent].log;
-        log.forbid(incarnation, id.clone(), 0);
+        log.forbid(id.clone());
         let receipts = log.after(incarnation, after);
         for receipt in receipts.iter().filter(|receipt| receipt.is_charged()) {
             self.settle(holder, agent, receipt);
@@ -809,6 +812,7 @@
         let dead: BTreeSet<_> = closing.dead.keys().copied().collect();
         let dead: BTreeSet<_> = dead.difference(&before.done).copied().collect();
         for (budget, settled) in settled {
+            self.freeze(closing, &dead, &budget);
             let lost = dead.iter().any(|holder| closing.lost.contains(holder));
             if lost {
                 check(settled.freed == 0, || format!("{budget}: freed lost work"))?;
@@ -822,6 +826,34 @@
         Ok(())
     }
 
+    /// Notes the flows between live and dead holders: they must not change any more.
+    fn freeze(&mut self, closing: &closing::Closing, dead: &BTreeSet<u64>, budget: &name::Name) {
+        for live in closing.live.keys() {
+            for dead in dead {
+                let flow = self.flow(*live, *dead, budget);
+                self.frozen.insert((budget.clone(), *live, *dead), flow);
+            }
+        }
+    }
+
+    fn flow(&self, live: u64, dead: u64, budget: &name::Name) -> Flow {
+        let holder = &self.holders[live as usize - 1];
+        holder.escrow.with(budget, |account| {
+            let figures = &account.figures;
+            let given = figures.given.get(&dead).copied();
+            (given, figures.received.get(&dead).copied())
+        })
+    }
+
+    fn check_frozen(&self) -> Checked {
+        for ((budget, live, dead), flow) in &self.frozen {
+            check(self.flow(*live, *dead, budget) == *flow, || {
+                format!("{budget}: {live} traded with the closed {dead}")
+            })?;
+        }
+        Ok(())
+    }
+
     /// Tokens that dead holders have left, from what really happened.
     fn expected_left(
         &self,
@@ -860,6 +892,7 @@
     }
 
     fn check_always(&self) -> Checked {
+        self.check_frozen()?;
         for budget in BUDGETS.map(name::Name::from) {
             let number = ledger::bucket_of(&budget);
             let entry = self
