--- a/examples/capacity/sample.rs
+++ b/examples/capacity/sample.rs
@@ -84,7 +84,7 @@
         state: holder_record::HolderState::Live,
         budgets: (0..budgets).map(figures).collect(),
         covered: (1..=agents).map(covered).collect(),
-        resolved: Default::default(),
+        agents: Default::default(),
     }
 }
 
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -1,7 +1,6 @@
 //! The agent: runs requests at the backend server beside it.
 
 use std::{
-    collections::HashSet,
     net::TcpListener,
     sync::{
         Arc, Mutex,
@@ -25,6 +24,7 @@
 mod beats;
 mod calls;
 mod crashes;
+mod fences;
 mod orders;
 mod usage;
 
@@ -58,7 +58,6 @@
     vms: vms::Vms,
     backend: backend::Backend,
     receipts: Mutex<receipt_log::ReceiptLog>,
-    fenced: Mutex<HashSet<member::Incarnation>>,
     config: AtomicU64,
     fences: AtomicU64,
     admission: admission::Admission,
@@ -90,7 +89,6 @@
             vms: parts.vms,
             backend: parts.backend,
             receipts: Mutex::default(),
-            fenced: Mutex::default(),
             config: AtomicU64::new(0),
             fences: AtomicU64::new(0),
             draining: AtomicBool::new(false),
--- a/src/agent/admission.rs
+++ b/src/agent/admission.rs
@@ -132,8 +132,5 @@
         stale.config = newest;
         return Err(stale);
     }
-    if agent.fenced.lock().unwrap().contains(&req.holder) {
-        return refuse(Code::Fenced, "the holder is fenced");
-    }
     Ok(())
 }
--- a/src/agent/attempt.rs
+++ b/src/agent/attempt.rs
@@ -8,7 +8,7 @@
 use futures::StreamExt;
 
 use crate::{
-    agent::{Agent, admission, answers, crashes, usage},
+    agent::{Agent, admission, answers, crashes, fences, usage},
     code::Code,
     coordination::answers::Begin,
     protocol::run,
@@ -84,10 +84,10 @@
     req: run::RunRequest,
     cancelled: async_channel::Receiver<()>,
 ) {
-    let outcome = match admit(&agent, &req, &cancelled).await {
-        Ok(running) => {
-            let outcome = charge(&agent, &req, &cancelled).await;
-            drop(running);
+    let outcome = match fences::open(&agent, &req) {
+        Ok(open) => {
+            let outcome = run_admitted(&agent, &req, &cancelled).await;
+            open.end();
             outcome
         }
         Err(refused) => refused,
@@ -96,6 +96,17 @@
     agent.answers.finish(&req.id, outcome, now);
 }
 
+async fn run_admitted(
+    agent: &Arc<Agent>,
+    req: &run::RunRequest,
+    cancelled: &async_channel::Receiver<()>,
+) -> run::RunOutcome {
+    match admit(agent, req, cancelled).await {
+        Ok(_running) => charge(agent, req, cancelled).await,
+        Err(refused) => refused,
+    }
+}
+
 async fn admit(
     agent: &Arc<Agent>,
     req: &run::RunRequest,
--- a/src/agent/calls.rs
+++ b/src/agent/calls.rs
@@ -40,6 +40,7 @@
             }
             messages::AgentCall::Cancel { agent, id, .. } if self.is(agent) => {
                 self.answers.with(|kept| kept.cancel(&id));
+                self.forbid(id);
                 self.answers.sweep(self.runtime.timers.now());
                 messages::AgentReply::Done
             }
@@ -68,12 +69,6 @@
         answers::follow(self, &resume.id, resume.offset, &tx).await
     }
 
-    /// Refuses work of more holders from now on.
-    pub fn fence(&self, revision: u64, holders: &[member::Incarnation]) {
-        self.fenced.lock().unwrap().extend(holders);
-        self.fences.fetch_max(revision, Ordering::Relaxed);
-    }
-
     /// Load that is reported.
     pub fn load(&self) -> roster::Load {
         roster::Load {
--- a/src/router.rs
+++ b/src/router.rs
@@ -25,6 +25,7 @@
 mod billing;
 mod calls;
 mod claims;
+mod draw;
 pub mod exchange;
 pub mod follow;
 mod front;
@@ -32,7 +33,12 @@
 mod members;
 mod orders;
 mod pull;
+mod record;
+mod recovery;
+mod refill;
+mod registry;
 pub mod request;
+mod resolve;
 
 const IDLE_POLL: Duration = Duration::from_millis(50);
 
@@ -79,6 +85,9 @@
     crashes: Mutex<crashes::Crashes>,
     ejection: Mutex<ejection::Ejection>,
     retries: Mutex<retry::Budgets>,
+    registry: registry::Registry,
+    resolve: resolve::Resolve,
+    recovery: recovery::Recovery,
     in_flight: AtomicU32,
     leaving: AtomicBool,
 }
@@ -113,6 +122,9 @@
             crashes: Mutex::default(),
             ejection: Mutex::default(),
             retries: Mutex::default(),
+            registry: registry::Registry::default(),
+            resolve: resolve::Resolve::default(),
+            recovery: recovery::Recovery::default(),
             in_flight: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
         })
@@ -122,6 +134,9 @@
     pub fn start(self: &Arc<Self>) {
         follow::start(self.clone());
         billing::start(self.clone());
+        registry::start(self.clone());
+        resolve::start(self.clone());
+        recovery::start(self.clone());
         members::start(self.clone());
         gossip::start(self.clone());
         orders::start(self.clone());
@@ -152,14 +167,20 @@
         if self.leaving.load(Ordering::Relaxed) {
             return Some("leaving".to_owned());
         }
+        if self.billing.is_fenced() {
+            return Some("fenced: other routers settle its tokens".to_owned());
+        }
         follow::readiness(self)
     }
 
     /// A summary as JSON.
     pub fn status(&self) -> String {
         let roster = self.roster.lock().unwrap();
-        let agents: Vec<_> = roster.all().map(|agent| &agent.member.name).collect();
         let versions = gossip::versions_of_agents(self);
+        let registered = roster
+            .all()
+            .filter(|agent| self.registry.admits(agent.member.incarnation));
+        let agents: Vec<_> = registered.map(|agent| &agent.member.name).collect();
         serde_json::json!({
             "member": self.member,
             "config": self.config().config.version,
@@ -183,7 +204,7 @@
             }
         };
         timers.within(self.settings.drain, idle).await;
-        billing::flush(self).await;
+        billing::hand_back(self).await;
     }
 }
 
@@ -260,7 +281,7 @@
     let drain = router.settings.drain;
     router.leave().await;
     router.runtime.timers.within(drain, closing).await;
-    billing::flush(&router).await;
+    record::flush(&router).await;
     drop(accepting);
     admin.shut_down().await;
     Ok(())
--- a/src/router/calls.rs
+++ b/src/router/calls.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     protocol::messages,
-    router::{Router, follow, gossip},
+    router::{Router, draw, follow, gossip, recovery},
 };
 
 impl Router {
@@ -15,7 +15,8 @@
                 Some(messages::RouterReply::Gossip(gossip::answer(self, theirs)))
             }
             messages::RouterCall::Config { after } => Some(follow::answer(self, after)),
-            _ => None,
+            messages::RouterCall::Draw { .. } => draw::answer(self, call).await,
+            messages::RouterCall::Flows { .. } => recovery::answer(self, call).await,
         }
     }
 
--- a/src/router/exchange.rs
+++ b/src/router/exchange.rs
@@ -18,7 +18,7 @@
     router::{
         Router, billing, claims,
         pull::{Next, Pull},
-        request,
+        request, resolve,
     },
     state::{member, name},
     transport::timers,
@@ -269,6 +269,7 @@
     let mut roster = router.roster.lock().unwrap();
     let mut ejection = router.ejection.lock().unwrap();
     let mut candidates: Vec<_> = roster.available(&req.services, now).collect();
+    candidates.retain(|agent| router.registry.admits(agent.member.incarnation));
     let admitted: Vec<_> = candidates
         .iter()
         .filter(|agent| ejection.admits(&agent.member.name, now))
@@ -331,7 +332,7 @@
         bound: req.bound,
         deadline: left,
         priority: req.route.priority,
-        acked: 0,
+        acked: router.billing.acked(target.member.incarnation),
         key: req.key.clone(),
         fingerprint: req.fingerprint,
         body: req.body.clone(),
@@ -573,5 +574,7 @@
         router.escrow.release(&req.budget, req.bound);
     } else if !outcome.ran {
         router.escrow.release(&req.budget, req.bound);
+    } else {
+        resolve::later(router, req, &target.member);
     }
 }
