Cancel what nobody waits for, and report a crash before its request ends

Cause: the HTTP client reads a dropped answer to its end, so a cancelled call ran on; a router that had not yet heard of a crash ran the same request again, on a third backend server. Change: a cancelled call closes its connection; an agent reports a crash to every router before the request's outcome is sent; a caller that goes away before the first part is noticed; bodies have limits of size and time; every counter exists from the start. Test addresses are given out once in a process: two daemons of parallel tests were given the same one.

--- a/src/agent/beats.rs
+++ b/src/agent/beats.rs
@@ -53,7 +53,8 @@
     });
 }
 
-async fn read_routers(agent: &Agent) -> Option<Vec<name::Name>> {
+/// Addresses of the routers that get heartbeats.
+pub async fn read_routers(agent: &Agent) -> Option<Vec<name::Name>> {
     let read = agent.runtime.timers.within(BEAT_LIMIT, (agent.vms.read)());
     match read.await {
         Some(Ok(vms)) => Some(choose(agent, vms)),
@@ -85,7 +86,8 @@
     membership::routers_of(&agent.member.name, &at, &places)
 }
 
-async fn beat(agent: Arc<Agent>, address: name::Name, failed: Arc<AtomicBool>) {
+/// Sends one heartbeat to a router.
+pub async fn beat(agent: Arc<Agent>, address: name::Name, failed: Arc<AtomicBool>) {
     let call = messages::RouterCall::Beat(messages::AgentBeat {
         member: agent.member.clone(),
         service: agent.settings.service.clone(),
--- a/src/agent/crashes.rs
+++ b/src/agent/crashes.rs
@@ -10,7 +10,7 @@
 };
 
 use crate::{
-    agent::Agent,
+    agent::{Agent, beats},
     coordination::crashes,
     transport::{backend, timers},
 };
@@ -18,6 +18,10 @@
 const PROBE_PATH: &str = "/v1/models";
 const PROBE_LIMIT: Duration = Duration::from_secs(2);
 const PROBE_PERIOD: Duration = Duration::from_millis(250);
+
+/// Longest wait for the routers to take the report of a crash.
+const TELL_LIMIT: Duration = Duration::from_secs(1);
+
 const STATUS_UNAVAILABLE: u16 = 503;
 
 /// Time within which lost streams belong to the same crash.
@@ -81,9 +85,22 @@
     crashes.note(fingerprint, crash);
     drop(last);
     watch(agent);
+    tell_routers(agent).await;
     true
 }
 
+/// Reports to every router before the request ends, so that a repeat is not run first.
+async fn tell_routers(agent: &Arc<Agent>) {
+    let told = async {
+        let routers = beats::read_routers(agent).await.unwrap_or_default();
+        let sent = routers
+            .into_iter()
+            .map(|address| beats::beat(agent.clone(), address, Arc::default()));
+        futures::future::join_all(sent).await;
+    };
+    agent.runtime.timers.within(TELL_LIMIT, told).await;
+}
+
 /// Reports the backend server as down until it takes calls again.
 pub fn watch(agent: &Arc<Agent>) {
     if agent.crashes.down.swap(true, Ordering::SeqCst) {
--- a/src/coordination/answers.rs
+++ b/src/coordination/answers.rs
@@ -10,6 +10,9 @@
 /// Time that a request runs on with nobody reading its answer.
 pub const GRACE: Duration = Duration::from_secs(5);
 
+/// The same for a request with an idempotency key, whose caller may come back to any router.
+pub const KEYED_GRACE: Duration = Duration::from_secs(30);
+
 /// Longest time that a finished answer with an idempotency key is kept.
 pub const RETENTION: Duration = Duration::from_secs(600);
 
@@ -76,7 +79,12 @@
     }
 
     fn is_abandoned(&self, now: Duration) -> bool {
-        let waited = now.saturating_sub(self.unread_since) >= GRACE;
+        let grace = if self.key.is_some() {
+            KEYED_GRACE
+        } else {
+            GRACE
+        };
+        let waited = now.saturating_sub(self.unread_since) >= grace;
         self.end.is_none() && self.readers == 0 && (self.cancelled || waited)
     }
 
--- a/src/coordination/crashes.rs
+++ b/src/coordination/crashes.rs
@@ -88,11 +88,11 @@
         self.bound();
     }
 
-    /// Counts one more crash at an agent, before its heartbeat reports it.
+    /// Notes a crash at an agent, in case that its report got lost.
     pub fn crashed(&mut self, agent: member::Incarnation, fingerprint: u64, now: Duration) {
         let suspect = self.suspects.entry(fingerprint).or_default();
         let count = suspect.agents.entry(agent).or_default();
-        count.crashes += 1;
+        count.crashes = count.crashes.max(1);
         count.last = now;
         self.bound();
     }
--- a/src/coordination/retry.rs
+++ b/src/coordination/retry.rs
@@ -36,18 +36,36 @@
 /// assert!(!retry::is_safe(failure, false));
 /// ```
 pub fn is_safe(failure: Failure, idempotent: bool) -> bool {
+    if !is_reason(failure.code) {
+        return false;
+    }
     match failure.code {
-        Code::Draining
-        | Code::Overloaded
-        | Code::NoBackend
-        | Code::WrongAgent
-        | Code::StaleConfig
-        | Code::BackendRefused => !failure.ran,
         Code::BackendFailed | Code::BackendCrashed => idempotent && failure.over,
-        _ => false,
+        _ => !failure.ran,
     }
 }
 
+/// Whether a code is ever a reason for another attempt.
+///
+/// ```
+/// use fulmarproxy::{code::Code, coordination::retry};
+/// assert!(retry::is_reason(Code::Draining));
+/// assert!(!retry::is_reason(Code::BudgetSpent));
+/// ```
+pub fn is_reason(code: Code) -> bool {
+    matches!(
+        code,
+        Code::Draining
+            | Code::Overloaded
+            | Code::NoBackend
+            | Code::WrongAgent
+            | Code::StaleConfig
+            | Code::BackendRefused
+            | Code::BackendFailed
+            | Code::BackendCrashed
+    )
+}
+
 /// Wait before an attempt: doubles each time, with full jitter.
 ///
 /// ```
--- a/src/router.rs
+++ b/src/router.rs
@@ -9,7 +9,10 @@
     time::Duration,
 };
 
+use metrics::counter;
+
 use crate::{
+    code,
     coordination::{crashes, ejection, escrow, retry, roster},
     error,
     protocol::{fleet_capnp, messages},
@@ -184,6 +187,16 @@
     }
 }
 
+/// Makes the counters of every refusal and retry reason exist from the start.
+fn register_counters() {
+    for code in code::Code::ALL {
+        counter!("fulmar_refusals", "code" => code.to_string()).absolute(0);
+        if retry::is_reason(code) {
+            counter!("fulmar_retries", "reason" => code.to_string()).absolute(0);
+        }
+    }
+}
+
 /// Runs a router until `stop` ends, then finishes what is in flight.
 ///
 /// # Errors
@@ -194,6 +207,7 @@
     stop: impl Future<Output = ()>,
 ) -> Result<(), error::Error> {
     let recorder = admin::install_recorder()?;
+    register_counters();
     let callers = TcpListener::bind(settings.listen)?;
     let listener = TcpListener::bind(settings.fleet_listen)?;
     let admin_listener = TcpListener::bind(settings.admin_listen)?;
--- a/src/router/exchange.rs
+++ b/src/router/exchange.rs
@@ -68,6 +68,9 @@
     service: name::Name,
 }
 
+/// Where the caller waits for its answer; closed when the caller is gone.
+type Caller = async_channel::Sender<Result<Answer, request::Refusal>>;
+
 /// How an attempt began.
 enum Begun {
     Answer(Answer),
@@ -87,7 +90,8 @@
     let (runtime, router, req) = (router.runtime.clone(), router.clone(), req.clone());
     runtime.spawn(async move {
         let _in_flight = InFlight::new(&router);
-        let _ = tx.send(carry_out(&router, &req).await).await;
+        let started = carry_out(&router, &req, &tx).await;
+        let _ = tx.send(started).await;
     });
     rx.recv().await.unwrap_or_else(|_| {
         let mut lost = request::Refusal::not_run(Code::Internal, "the request was lost");
@@ -99,6 +103,7 @@
 async fn carry_out(
     router: &Arc<Router>,
     req: &request::Request,
+    caller: &Caller,
 ) -> Result<Answer, request::Refusal> {
     let deadline = router.runtime.timers.now() + req.deadline;
     let solo = check_crashes(router, req)?;
@@ -113,7 +118,7 @@
             }
         }
     }
-    let answer = dispatch(router, req, deadline, solo).await;
+    let answer = dispatch(router, req, caller, deadline, solo).await;
     if let Err(refusal) = &answer
         && req.must_claim()
     {
@@ -156,6 +161,7 @@
 async fn dispatch(
     router: &Arc<Router>,
     req: &request::Request,
+    caller: &Caller,
     deadline: timers::Now,
     mut solo: bool,
 ) -> Result<Answer, request::Refusal> {
@@ -174,7 +180,7 @@
         tried.push(target.member.name.clone());
         let left = deadline.saturating_sub(timers.now());
         let message = compose(router, req, &target, number, left, solo);
-        let outcome = match begin(router, req, target, message, deadline).await {
+        let outcome = match begin(router, req, caller, target, message, deadline).await {
             Begun::Answer(answer) => return Ok(answer),
             Begun::Failed(outcome) => outcome,
         };
@@ -342,6 +348,7 @@
 async fn begin(
     router: &Arc<Router>,
     req: &request::Request,
+    caller: &Caller,
     target: Target,
     message: run::RunRequest,
     deadline: timers::Now,
@@ -350,7 +357,16 @@
     let agent = target.member.clone();
     let attempt = (router.fleet.run)(agent.address.clone(), message);
     let mut pull = Pull::new(router.clone(), agent, req.id.clone(), attempt, deadline);
-    match pull.next().await {
+    let gone = async {
+        caller.closed().await;
+        None
+    };
+    let next = smol::future::or(async { Some(pull.next().await) }, gone).await;
+    let next = match next {
+        Some(next) => next,
+        None => Next::End(abandon(req, &mut pull).await),
+    };
+    match next {
         Next::Chunk(first) => {
             router
                 .ejection
@@ -440,7 +456,15 @@
             if !matches!(sent.await, Some(Ok(()))) {
                 break abandon(&req, &mut pull).await;
             }
-            next = pull.next().await;
+            let gone = async {
+                tx.closed().await;
+                None
+            };
+            let arrived = smol::future::or(async { Some(pull.next().await) }, gone).await;
+            next = match arrived {
+                Some(next) => next,
+                None => break abandon(&req, &mut pull).await,
+            };
         };
         drop(tx);
         ended(&router, &req, &target, &outcome, solo);
@@ -456,6 +480,7 @@
 /// Waits for the outcome of a request whose caller is gone; with a key, it may come back.
 async fn abandon(req: &request::Request, pull: &mut Pull) -> run::RunOutcome {
     counter!("fulmar_callers_gone").increment(1);
+    pull.abandon();
     if req.key.is_empty() {
         pull.cancel();
     }
--- a/src/router/front.rs
+++ b/src/router/front.rs
@@ -1,6 +1,6 @@
 //! The listener for callers.
 
-use std::{net::TcpListener, sync::Arc};
+use std::{net::TcpListener, sync::Arc, time::Duration};
 
 use futures::{TryStreamExt, stream};
 use metrics::counter;
@@ -14,6 +14,9 @@
     transport::http,
 };
 
+/// Longest time that a caller may take to send its body.
+const BODY_TIME: Duration = Duration::from_secs(20);
+
 /// Starts the listener on a bound socket.
 pub fn start(
     router: Arc<Router>,
@@ -49,11 +52,9 @@
         path: conn.path_and_query().to_owned(),
         body: Vec::new(),
     };
-    let body = conn.request_body().read_bytes().await;
-    let bad =
-        |err: trillium_http::Error| request::Refusal::not_run(Code::BadRequest, err.to_string());
-    ask.body = body.map_err(bad)?;
-    let (req, answer) = router.ask(&ask).await?;
+    ask.body = read_body(router, conn).await?;
+    let asked = conn.cancel_on_disconnect(router.ask(&ask)).await;
+    let (req, answer) = asked.unwrap_or_else(|| Err(caller_gone()))?;
     conn.insert_response_header("x-request-id", req.id.to_string());
     if req.stream {
         conn.insert_response_header(KnownHeaderName::ContentType, "text/event-stream");
@@ -63,7 +64,32 @@
         conn.insert_response_header("idempotency-key", req.key.to_string());
     }
     conn.insert_response_header(KnownHeaderName::ContentType, "application/json");
-    whole(answer).await
+    let whole = conn.cancel_on_disconnect(whole(answer)).await;
+    whole.unwrap_or_else(|| Err(caller_gone()))
+}
+
+/// Reads a body within the limits of size and time.
+async fn read_body(router: &Router, conn: &mut Conn) -> Result<Vec<u8>, request::Refusal> {
+    let timers = &router.runtime.timers;
+    let body = conn.request_body();
+    let read = timers.within(BODY_TIME, body.read_bytes()).await;
+    let Some(read) = read else {
+        let message = format!("the body took longer than {} s", BODY_TIME.as_secs());
+        return Err(request::Refusal::not_run(Code::BadRequest, message));
+    };
+    read.map_err(|err| {
+        let code = match err {
+            trillium_http::Error::ReceivedBodyTooLong(_) => Code::TooLarge,
+            _ => Code::BadRequest,
+        };
+        request::Refusal::not_run(code, err.to_string())
+    })
+}
+
+fn caller_gone() -> request::Refusal {
+    let mut refusal = request::Refusal::not_run(Code::CallerGone, "the caller is gone");
+    refusal.may_have_run = true;
+    refusal
 }
 
 /// Collects a whole answer.
--- a/src/router/pull.rs
+++ b/src/router/pull.rs
@@ -27,6 +27,7 @@
     offset: u64,
     lost_since: Option<timers::Now>,
     until: timers::Now,
+    abandoned: bool,
 }
 
 /// What an attempt gave next.
@@ -54,6 +55,7 @@
             offset: 0,
             lost_since: None,
             until: deadline + LATE,
+            abandoned: false,
         }
     }
 
@@ -79,7 +81,13 @@
         }
     }
 
-    /// Tells the agent that nobody waits for the answer any more.
+    /// Reads no more of the answer; only its end matters from now on.
+    pub fn abandon(&mut self) {
+        self.abandoned = true;
+        self.attempt.chunks.close();
+    }
+
+    /// Tells the agent that nobody will come back for the answer.
     pub fn cancel(&self) {
         let call = messages::AgentCall::Cancel {
             agent: self.agent.incarnation,
@@ -115,7 +123,7 @@
     /// Whether the agent may still have the rest of the answer.
     fn is_cut_off(&self, outcome: &run::RunOutcome) -> bool {
         match outcome.code {
-            Code::Ok => outcome.length > self.offset,
+            Code::Ok => outcome.length > self.offset && !self.abandoned,
             Code::AgentLost => true,
             Code::NoBackend => self.lost_since.is_some(),
             _ => false,
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use subtle::ConstantTimeEq;
 use xxhash_rust::xxh3;
 
 use crate::{
@@ -100,8 +101,10 @@
         .strip_prefix("Bearer ")
         .ok_or_else(|| refuse("the key is no bearer token"))?;
     let digest = publish::digest(key.trim().as_bytes());
-    let found = in_force.by_key.get(&digest).cloned();
-    found.ok_or_else(|| refuse("the key is unknown"))
+    let found = in_force.by_key.get_key_value(&digest);
+    let same = found.filter(|(known, _)| known.as_bytes().ct_eq(digest.as_bytes()).into());
+    let workspace = same.map(|(_, workspace)| workspace.clone());
+    workspace.ok_or_else(|| refuse("the key is unknown"))
 }
 
 /// Path of the chat completions API.
--- a/src/transport/backend.rs
+++ b/src/transport/backend.rs
@@ -65,20 +65,21 @@
 ) -> Result<Answer, Failure> {
     let method = call.method.parse().unwrap_or(trillium::Method::Post);
     let conn = client.build_conn(method, format!("{url}{}", call.path).as_str());
-    let mut conn = conn
+    let conn = conn
         .with_request_header("content-type", "application/json")
         .with_request_header("x-request-id", call.id)
         .with_body(call.body);
-    if !call.key.is_empty() {
-        conn = conn.with_request_header("idempotency-key", call.key);
-    }
-    if let Err(err) = (&mut conn).await {
+    let mut conn = Exchange(Some(match call.key.is_empty() {
+        true => conn,
+        false => conn.with_request_header("idempotency-key", call.key),
+    }));
+    if let Err(err) = conn.get().await {
         return Err(Failure {
             may_have_run: !is_refused(&err),
             message: err.to_string(),
         });
     }
-    let status = conn.status().map_or(0, |status| status as u16);
+    let status = conn.get().status().map_or(0, |status| status as u16);
     Ok(Answer {
         status,
         body: Box::pin(stream::unfold(Some(conn), next_part)),
@@ -92,14 +93,45 @@
     }
 }
 
-type Part = (io::Result<Vec<u8>>, Option<trillium_client::Conn>);
+/// A call under way; dropping it closes the connection, so that the backend server stops.
+///
+/// The client itself would read the answer to its end, to use the connection again.
+struct Exchange(Option<trillium_client::Conn>);
+
+impl Exchange {
+    fn get(&mut self) -> &mut trillium_client::Conn {
+        self.0
+            .as_mut()
+            .expect("the connection is kept until the end")
+    }
+
+    /// Gives the connection back for other calls.
+    fn end(mut self) {
+        drop(self.0.take());
+    }
+}
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        if let Some(conn) = self.0.take()
+            && conn.peer_addr().is_some()
+        {
+            drop(trillium_http::Upgrade::from(conn));
+        }
+    }
+}
+
+type Part = (io::Result<Vec<u8>>, Option<Exchange>);
 
-async fn next_part(conn: Option<trillium_client::Conn>) -> Option<Part> {
+async fn next_part(conn: Option<Exchange>) -> Option<Part> {
     let mut conn = conn?;
     let mut buf = vec![0; READ_BYTES];
-    let read = conn.response_body().read(&mut buf).await;
+    let read = conn.get().response_body().read(&mut buf).await;
     match read {
-        Ok(0) => None,
+        Ok(0) => {
+            conn.end();
+            None
+        }
         Ok(read) => {
             buf.truncate(read);
             Some((Ok(buf), Some(conn)))
--- /dev/null
+++ b/tests/answers.rs
@@ -0,0 +1,301 @@
+//! Answers, repeats and refusals through real processes.
+
+mod common;
+
+use std::io::Write;
+
+use serde_json::{Value, json};
+
+const DESK: &str = "fjordforlaget";
+const DESK_KEY: &str = "fjordforlaget-key";
+
+/// A caller's call and what came of it.
+struct Answered {
+    status: u16,
+    key: Option<String>,
+    body: String,
+    whole: bool,
+}
+
+impl Answered {
+    fn error(&self) -> Value {
+        let body: Value = serde_json::from_str(&self.body).unwrap_or_default();
+        body["error"].clone()
+    }
+}
+
+async fn send(
+    client: trillium_client::Client,
+    address: String,
+    path: &str,
+    key: Option<&str>,
+    body: &Value,
+) -> Answered {
+    let conn = client.post(format!("http://{address}{path}"));
+    let mut conn = conn
+        .with_request_header("authorization", format!("Bearer {DESK_KEY}"))
+        .with_body(body.to_string());
+    if let Some(key) = key {
+        conn = conn.with_request_header("idempotency-key", key.to_owned());
+    }
+    if (&mut conn).await.is_err() {
+        return Answered {
+            status: 0,
+            key: None,
+            body: String::new(),
+            whole: false,
+        };
+    }
+    let status = conn.status().unwrap() as u16;
+    let headers = conn.response_headers();
+    let key = headers.get_str("idempotency-key").map(str::to_owned);
+    let body = conn.response_body().read_string().await;
+    Answered {
+        status,
+        key,
+        whole: body.is_ok(),
+        body: body.unwrap_or_default(),
+    }
+}
+
+fn call(
+    fleet: &common::Fleet,
+    router: usize,
+    path: &str,
+    key: Option<&str>,
+    body: &Value,
+) -> Answered {
+    let address = fleet.routers[router].address.clone();
+    smol::block_on(send(fleet.client.clone(), address, path, key, body))
+}
+
+/// Sends a chat request in the background.
+fn chat_later(
+    fleet: &common::Fleet,
+    router: usize,
+    key: Option<&'static str>,
+    body: &Value,
+) -> smol::Task<Answered> {
+    let address = fleet.routers[router].address.clone();
+    let (client, body) = (fleet.client.clone(), body.clone());
+    smol::spawn(async move { send(client, address, CHAT, key, &body).await })
+}
+
+const CHAT: &str = "/v1/chat/completions";
+
+fn question(text: &str, tokens: u64, stream: bool) -> Value {
+    json!({
+        "model": "quick",
+        "messages": [{ "role": "user", "content": text }],
+        "max_tokens": tokens,
+        "stream": stream,
+    })
+}
+
+fn fleet(routers: usize, agents: usize, token_micros: u64) -> common::Fleet {
+    let mut fleet = common::Fleet::start("haugland");
+    for _ in 0..routers {
+        fleet.add_router();
+    }
+    for _ in 0..agents {
+        fleet.add_agent("fortelling", token_micros);
+    }
+    for router in 0..routers {
+        fleet.wait_ready(router, agents);
+    }
+    fleet
+}
+
+fn counts(fleet: &common::Fleet, engine: usize) -> Value {
+    let url = format!("http://{}/counts", fleet.engines[engine].address);
+    smol::block_on(fulmarproxy::transport::http::get(
+        &fleet.client,
+        "counts",
+        &url,
+    ))
+    .unwrap()
+}
+
+fn total(fleet: &common::Fleet, field: &str) -> u64 {
+    let engines = 0..fleet.engines.len();
+    engines
+        .map(|engine| counts(fleet, engine)[field].as_u64().unwrap())
+        .sum()
+}
+
+/// Runs by all engines, by request id.
+fn runs(fleet: &common::Fleet) -> Vec<u64> {
+    let engines = 0..fleet.engines.len();
+    let by_id = engines.flat_map(|engine| {
+        let counts = counts(fleet, engine);
+        let runs = counts["runs"].as_object().unwrap().clone();
+        runs.into_values().map(|count| count.as_u64().unwrap())
+    });
+    by_id.collect()
+}
+
+#[test]
+fn a_repeat_at_another_router_is_answered_again_and_billed_once() {
+    let fleet = fleet(2, 3, 100);
+    let body = question("when is the brief due", 20, false);
+    let first = call(&fleet, 0, CHAT, Some("k1"), &body);
+    let again = call(&fleet, 1, CHAT, Some("k1"), &body);
+    assert_eq!((first.status, again.status), (200, 200), "{}", again.body);
+    assert_eq!(first.body, again.body);
+    assert_eq!(runs(&fleet), [1]);
+    let other = question("another question", 20, false);
+    let refused = call(&fleet, 1, CHAT, Some("k1"), &other);
+    assert_eq!(
+        (refused.status, &refused.error()["code"]),
+        (409, &json!(104))
+    );
+    assert_eq!(refused.error()["run"], "not run");
+    let ran = fleet.engine_tokens();
+    common::wait_for("the bill", || fleet.billed_tokens(DESK) == ran);
+}
+
+#[test]
+fn a_repeat_joins_the_running_stream_of_a_killed_router() {
+    let mut fleet = fleet(2, 2, 5000);
+    let body = question("draft the opening scene", 200, true);
+    let first = chat_later(&fleet, 0, Some("k2"), &body);
+    common::wait_for("the run", || runs(&fleet) == [1]);
+    fleet.routers[0].child.kill().unwrap();
+    let broken = smol::block_on(first);
+    assert!(!broken.whole || !broken.body.contains("[DONE]"));
+    let again = call(&fleet, 1, CHAT, Some("k2"), &body);
+    assert_eq!(again.status, 200, "{}", again.body);
+    assert!(again.whole && again.body.ends_with("data: [DONE]\n\n"));
+    assert_eq!(again.body.matches("\"content\"").count(), 200);
+    assert_eq!(runs(&fleet), [1]);
+}
+
+#[test]
+fn the_call_of_a_caller_that_went_away_is_cancelled_and_billed() {
+    let fleet = fleet(1, 1, 20_000);
+    let body = question("a question nobody waits for", 500, true).to_string();
+    let mut caller = std::net::TcpStream::connect(&fleet.routers[0].address).unwrap();
+    let head = format!(
+        "POST {CHAT} HTTP/1.1\r\nhost: router\r\nauthorization: Bearer {DESK_KEY}\r\n\
+         content-length: {}\r\n\r\n",
+        body.len()
+    );
+    caller.write_all((head + body.as_str()).as_bytes()).unwrap();
+    common::wait_for("the run", || runs(&fleet) == [1]);
+    drop(caller);
+    common::wait_for("the end of the run", || total(&fleet, "cancelled") == 1);
+    common::wait_for("the bill", || {
+        fleet.billed_tokens(DESK) >= fleet.engine_tokens()
+    });
+}
+
+#[test]
+fn a_request_that_crashes_is_refused_and_its_neighbours_are_answered() {
+    let mut fleet = common::Fleet::start("haugland");
+    fleet.add_router();
+    fleet.add_router();
+    for _ in 0..4 {
+        let crash = [
+            "--crash-on",
+            "poison",
+            "--crash-soft",
+            "--restart-ms",
+            "400",
+        ];
+        let [engine, agent] = fleet.add_agent_with("fortelling", 2000, &crash);
+        assert_eq!(engine, agent);
+    }
+    fleet.wait_ready(0, 4);
+    fleet.wait_ready(1, 4);
+    let ask = |text: &str| question(text, 40, false);
+    let neighbours: Vec<_> = (0..12)
+        .map(|number| {
+            chat_later(
+                &fleet,
+                number % 2,
+                None,
+                &ask(&format!("question {number}")),
+            )
+        })
+        .collect();
+    let poison = chat_later(&fleet, 0, None, &ask("poison"));
+    for neighbour in neighbours {
+        let answered = smol::block_on(neighbour);
+        assert_eq!(answered.status, 200, "{}", answered.body);
+    }
+    let first = smol::block_on(poison);
+    assert_eq!(first.error()["run"], "may have run", "{}", first.body);
+    common::wait_for("the refusal", || {
+        (0..2).all(|router| {
+            let again = call(&fleet, router, CHAT, Some("a new key"), &ask("poison"));
+            again.error()["code"] == 306
+        })
+    });
+    assert!(
+        total(&fleet, "crashes") <= 2,
+        "{}",
+        total(&fleet, "crashes")
+    );
+}
+
+#[test]
+fn a_graceful_shutdown_cuts_off_nothing() {
+    let fleet = fleet(1, 1, 5000);
+    let body = question("draft a scene", 200, true);
+    let stream = chat_later(&fleet, 0, None, &body);
+    common::wait_for("the run", || runs(&fleet) == [1]);
+    fleet.agents[0].signal("-TERM");
+    fleet.routers[0].signal("-TERM");
+    let answered = smol::block_on(stream);
+    assert!(answered.whole && answered.body.ends_with("data: [DONE]\n\n"));
+    let ran = fleet.engine_tokens();
+    common::wait_for("the bill", || fleet.billed_tokens(DESK) == ran);
+}
+
+fn plain_fleet() -> (common::Fleet, common::Process) {
+    let mut fleet = common::Fleet::start("haugland");
+    fleet.add_router();
+    fleet.add_router();
+    let service = fleet.add_plain("portal");
+    fleet.wait_ready(0, 1);
+    fleet.wait_ready(1, 1);
+    (fleet, service)
+}
+
+fn effects(fleet: &common::Fleet, service: &common::Process) -> u64 {
+    let url = format!("http://{}/counts", service.address);
+    let counts = fulmarproxy::transport::http::get(&fleet.client, "counts", &url);
+    let counts: Value = smol::block_on(counts).unwrap();
+    counts["calls"].as_u64().unwrap()
+}
+
+#[test]
+fn a_call_that_must_not_be_repeated_runs_at_most_once() {
+    let (mut fleet, service) = plain_fleet();
+    let order = json!({ "commission": "cover" });
+    let first = call(&fleet, 0, "/portal/orders", None, &order);
+    assert_eq!(first.status, 200, "{}", first.body);
+    let key = first.key.clone().expect("the answer names the key");
+    let again = call(&fleet, 1, "/portal/orders", Some(&key), &order);
+    assert_eq!((again.status, &again.body), (200, &first.body));
+    assert_eq!(effects(&fleet, &service), 1);
+
+    let faults = json!({ "drop_answers": 1 });
+    let faulty = fleet
+        .client
+        .post(format!("http://{}/faults", service.address));
+    let set = smol::block_on(async { faulty.with_body(faults.to_string()).await.unwrap() });
+    assert!(set.status().is_some_and(|status| status.is_success()));
+    let lost = call(&fleet, 0, "/portal/orders", Some("booking"), &order);
+    assert_eq!(lost.error()["run"], "may have run", "{}", lost.body);
+    let repeat = call(&fleet, 1, "/portal/orders", Some("booking"), &order);
+    assert_eq!(repeat.error()["code"], 403, "{}", repeat.body);
+    assert_eq!(repeat.error()["run"], "may have run");
+    assert_eq!(effects(&fleet, &service), 2);
+
+    fleet.platform.child.kill().unwrap();
+    let refused = call(&fleet, 0, "/portal/orders", Some("late"), &order);
+    assert_eq!(refused.error()["code"], 307, "{}", refused.body);
+    assert_eq!(refused.error()["run"], "not run");
+    assert_eq!(effects(&fleet, &service), 2);
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -4,10 +4,12 @@
 pub mod proxy;
 
 use std::{
+    collections::BTreeSet,
     io::{BufRead, BufReader},
     net::TcpListener,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
+    sync::Mutex,
     time::{Duration, Instant},
 };
 
@@ -54,9 +56,16 @@
     vms: Vec<Value>,
 }
 
+/// Returns an address that no other test of this process was given.
 pub fn free_address() -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap().to_string()
+    static GIVEN: Mutex<BTreeSet<String>> = Mutex::new(BTreeSet::new());
+    loop {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        if GIVEN.lock().unwrap().insert(address.clone()) {
+            return address;
+        }
+    }
 }
 
 /// Address that lets the system choose a port.
@@ -202,19 +211,39 @@
     }
 
     pub fn add_agent(&mut self, service: &str, token_micros: u64) -> usize {
-        let engine = standin(&["engine", "--token-micros", &token_micros.to_string()]);
+        self.add_agent_with(service, token_micros, &[])[1]
+    }
+
+    /// Adds an engine with more flags and its agent; returns their numbers.
+    pub fn add_agent_with(
+        &mut self,
+        service: &str,
+        token_micros: u64,
+        flags: &[&str],
+    ) -> [usize; 2] {
+        let micros = token_micros.to_string();
+        let mut args = vec!["engine", "--token-micros", &micros];
+        args.extend(flags);
+        let engine = standin(&args);
+        self.add_agent_before(service, &engine.address.clone());
+        self.engines.push(engine);
+        [self.engines.len() - 1, self.agents.len() - 1]
+    }
+
+    /// Adds a plain service and its agent.
+    pub fn add_plain(&mut self, service: &str) -> Process {
+        let plain = standin(&["plain"]);
+        self.add_agent_before(service, &plain.address);
+        plain
+    }
+
+    fn add_agent_before(&mut self, service: &str, backend: &str) {
         let name = format!("backend-{}", self.agents.len());
-        let backend = format!("http://{}", engine.address);
-        let agent = self.daemon(
-            "agent",
-            &name,
-            "a",
-            &["--service", service, "--backend", &backend],
-        );
+        let backend = format!("http://{backend}");
+        let flags = ["--service", service, "--backend", &backend];
+        let agent = self.daemon("agent", &name, "a", &flags);
         self.list("agent", &name, &agent.fleet);
-        self.engines.push(engine);
         self.agents.push(agent);
-        self.agents.len() - 1
     }
 
     /// Waits until a router is ready and knows a number of agents.
