--- a/src/router.rs
+++ b/src/router.rs
@@ -32,6 +32,7 @@
 mod members;
 mod orders;
 mod pull;
+mod queue;
 pub mod request;
 
 const IDLE_POLL: Duration = Duration::from_millis(50);
@@ -79,6 +80,7 @@
     crashes: Mutex<crashes::Crashes>,
     ejection: Mutex<ejection::Ejection>,
     retries: Mutex<retry::Budgets>,
+    queues: queue::Queues,
     in_flight: AtomicU32,
     leaving: AtomicBool,
 }
@@ -113,6 +115,7 @@
             crashes: Mutex::default(),
             ejection: Mutex::default(),
             retries: Mutex::default(),
+            queues: queue::Queues::default(),
             in_flight: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
         })
--- a/tests/mutants.rs
+++ b/tests/mutants.rs
@@ -29,7 +29,10 @@
     let script = script::parse(&lines.concat()).unwrap();
     let breaks = |wrong: &[Fault]| {
         let report = play::run(&script, wrong);
-        let broken = report.violations.iter().any(|found| found.promise == promise);
+        let broken = report
+            .violations
+            .iter()
+            .any(|found| found.promise == promise);
         (broken, report.explain("scenario"))
     };
     let (broken, text) = breaks(&[]);
@@ -50,22 +53,38 @@
 
 #[test]
 fn billed_once_finds_a_double_charge() {
-    assert_caught(Fault::DoubleCharge, Promise::BilledOnce, &[ONE_ROUTER, TWO_REQUESTS]);
+    assert_caught(
+        Fault::DoubleCharge,
+        Promise::BilledOnce,
+        &[ONE_ROUTER, TWO_REQUESTS],
+    );
 }
 
 #[test]
 fn billed_once_finds_a_forgotten_charge() {
-    assert_caught(Fault::FreeCharge, Promise::BilledOnce, &[ONE_ROUTER, TWO_REQUESTS]);
+    assert_caught(
+        Fault::FreeCharge,
+        Promise::BilledOnce,
+        &[ONE_ROUTER, TWO_REQUESTS],
+    );
 }
 
 #[test]
 fn whole_answer_finds_mixed_answers() {
-    assert_caught(Fault::MixedAnswers, Promise::WholeAnswer, &[ONE_ROUTER, TWO_REQUESTS]);
+    assert_caught(
+        Fault::MixedAnswers,
+        Promise::WholeAnswer,
+        &[ONE_ROUTER, TWO_REQUESTS],
+    );
 }
 
 #[test]
 fn whole_answer_finds_a_part_left_out() {
-    assert_caught(Fault::ShortAnswers, Promise::WholeAnswer, &[ONE_ROUTER, TWO_REQUESTS]);
+    assert_caught(
+        Fault::ShortAnswers,
+        Promise::WholeAnswer,
+        &[ONE_ROUTER, TWO_REQUESTS],
+    );
 }
 
 #[test]
@@ -85,7 +104,11 @@
         at 2s send r1 to entry-1 as desk once 20 tokens key k1
         run until 20s
     ";
-    assert_caught(Fault::RepeatedRuns, Promise::AtMostOnce, &[ONE_ROUTER, once]);
+    assert_caught(
+        Fault::RepeatedRuns,
+        Promise::AtMostOnce,
+        &[ONE_ROUTER, once],
+    );
 }
 
 #[test]
@@ -123,5 +146,9 @@
         at 5s top up desk to 20000 by ops
         run until 30s
     ";
-    assert_caught(Fault::HeldBackConfig, Promise::Config, &[ONE_ROUTER, top_up]);
+    assert_caught(
+        Fault::HeldBackConfig,
+        Promise::Config,
+        &[ONE_ROUTER, top_up],
+    );
 }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -31,7 +31,9 @@
 /// Lines of a list: a name, then the rest.
 fn listed(file: &str) -> BTreeMap<String, String> {
     let text = fs::read_to_string(format!("{DIR}/{file}")).unwrap_or_default();
-    let lines = text.lines().map(|line| line.split('#').next().unwrap_or_default());
+    let lines = text
+        .lines()
+        .map(|line| line.split('#').next().unwrap_or_default());
     let entry = |line: &str| {
         let (name, rest) = line.trim().split_once(char::is_whitespace)?;
         Some((name.to_owned(), rest.trim().to_owned()))
@@ -54,7 +56,10 @@
             (false, None) => wrong.push(report.explain(&format!("tests/scenarios/{name}.scn"))),
             (false, Some(reason)) => {
                 println!("KNOWN RED {name}: {reason}");
-                println!("  {}", report.explain(&name).lines().next().unwrap_or_default());
+                println!(
+                    "  {}",
+                    report.explain(&name).lines().next().unwrap_or_default()
+                );
             }
             (true, Some(_)) => wrong.push(format!("{name} passes: take it off known-red.txt")),
         }
@@ -66,7 +71,10 @@
 fn known_red_names_scenarios() {
     let names: Vec<_> = scenarios().into_iter().map(|(name, _)| name).collect();
     for name in listed("known-red.txt").keys() {
-        assert!(names.contains(name), "known-red.txt names {name}, which does not exist");
+        assert!(
+            names.contains(name),
+            "known-red.txt names {name}, which does not exist"
+        );
     }
 }
 
@@ -87,8 +95,9 @@
 
 #[test]
 fn every_cell_of_the_matrix_names_a_scenario() {
-    const PROMISES: [&str; 8] =
-        ["spend", "billed", "whole", "notrun", "once", "leaving", "graceful", "config"];
+    const PROMISES: [&str; 8] = [
+        "spend", "billed", "whole", "notrun", "once", "leaving", "graceful", "config",
+    ];
     const FAILURES: [&str; 8] = [
         "partition",
         "router-dies",
@@ -106,7 +115,10 @@
             let cell = format!("{promise} x {failure}: ");
             let found = text.lines().find_map(|line| line.strip_prefix(&*cell));
             let found = found.unwrap_or_else(|| panic!("matrix.txt lacks {cell}"));
-            assert!(names.iter().any(|name| name == found), "{cell}{found} does not exist");
+            assert!(
+                names.iter().any(|name| name == found),
+                "{cell}{found} does not exist"
+            );
         }
     }
 }
--- a/tests/world/callers.rs
+++ b/tests/world/callers.rs
@@ -75,7 +75,8 @@
     /// Whether a router still has sends to answer.
     pub fn waits_for(&self, vm: &str) -> bool {
         let sent = self.sent.lock().unwrap();
-        sent.iter().any(|sent| sent.send.to == vm && sent.end.is_none())
+        sent.iter()
+            .any(|sent| sent.send.to == vm && sent.end.is_none())
     }
 
     /// Sends a request to a router, or to nobody.
--- a/tests/world/checks.rs
+++ b/tests/world/checks.rs
@@ -109,9 +109,16 @@
             continue;
         };
         let late = dispatch.at > *since + LEAVING_LIMIT;
-        if late && runs_of(play, dispatch).iter().any(|run| run.began > *since + LEAVING_LIMIT) {
+        if late
+            && runs_of(play, dispatch)
+                .iter()
+                .any(|run| run.began > *since + LEAVING_LIMIT)
+        {
             let to = &dispatch.to;
-            let detail = format!("{to} is leaving since {since:?}, got work at {:?}", dispatch.at);
+            let detail = format!(
+                "{to} is leaving since {since:?}, got work at {:?}",
+                dispatch.at
+            );
             found.push(broken(Promise::Leaving, detail));
         }
     }
@@ -170,14 +177,23 @@
     let mut range = Range::default();
     let whole: Vec<_> = play.callers.all().into_iter().filter(is_whole).collect();
     let dispatches = play.members.dispatches.lock().unwrap().clone();
-    for dispatch in dispatches.iter().filter(|dispatch| dispatch.budget == budget) {
+    for dispatch in dispatches
+        .iter()
+        .filter(|dispatch| dispatch.budget == budget)
+    {
         let runs = runs_of(play, dispatch);
         let made: u64 = runs.iter().map(|run| run.tokens).sum();
         let same = dispatches.iter().filter(|other| other.id == dispatch.id);
-        let was_given = whole.iter().any(|sent| sent.id.as_deref() == Some(&dispatch.id));
+        let was_given = whole
+            .iter()
+            .any(|sent| sent.id.as_deref() == Some(&dispatch.id));
         let lives = play.lives(dispatch.agent);
         let exact = lives && (runs.is_empty() || (was_given && same.count() == 1));
-        let most = if exact { made } else { dispatch.bound.max(made) };
+        let most = if exact {
+            made
+        } else {
+            dispatch.bound.max(made)
+        };
         range.least += i128::from(made);
         range.most += i128::from(most);
     }
@@ -194,10 +210,13 @@
     let entry = buckets.iter().find_map(|bucket| bucket.entries.get(budget));
     let entry = entry.cloned().unwrap_or_default();
     let records: Vec<holder_record::HolderRecord> = play.platform.peek(store::HOLDER_PREFIX);
-    let is_closed = |record: &&holder_record::HolderRecord| {
-        record.state == holder_record::HolderState::Closed
-    };
-    let closed: Vec<_> = records.iter().filter(is_closed).map(|r| r.member.incarnation).collect();
+    let is_closed =
+        |record: &&holder_record::HolderRecord| record.state == holder_record::HolderState::Closed;
+    let closed: Vec<_> = records
+        .iter()
+        .filter(is_closed)
+        .map(|r| r.member.incarnation)
+        .collect();
     let mut range = Range {
         least: i128::from(entry.closed),
         most: i128::from(entry.closed),
@@ -258,7 +277,13 @@
         let denied = |other: &callers::Sent| {
             matches!(
                 other.end,
-                Some((_, callers::End::Refused { may_have_run: false, .. }))
+                Some((
+                    _,
+                    callers::End::Refused {
+                        may_have_run: false,
+                        ..
+                    }
+                ))
             )
         };
         if !all.iter().filter(same).all(denied) {
--- a/tests/world/engine.rs
+++ b/tests/world/engine.rs
@@ -306,6 +306,10 @@
         text(&value, "delta")
     });
     let text: String = parts.collect();
-    let end = if body.ends_with("data: [DONE]\n\n") { "" } else { "(no end)" };
+    let end = if body.ends_with("data: [DONE]\n\n") {
+        ""
+    } else {
+        "(no end)"
+    };
     text + end
 }
--- a/tests/world/expects.rs
+++ b/tests/world/expects.rs
@@ -77,8 +77,7 @@
 
 fn refused(play: &play::Play, label: &str) -> Result<(), String> {
     let ends = ends(play, label);
-    let is_refused =
-        |end: &Option<callers::End>| matches!(end, Some(callers::End::Refused { .. }));
+    let is_refused = |end: &Option<callers::End>| matches!(end, Some(callers::End::Refused { .. }));
     if !ends.is_empty() && ends.iter().all(is_refused) {
         return Ok(());
     }
--- a/tests/world/links.rs
+++ b/tests/world/links.rs
@@ -78,7 +78,11 @@
 
     /// Adds a delay one way.
     pub fn slow(&self, from: &str, to: &str, delay: Duration) {
-        self.state.lock().unwrap().slow.insert(pair(from, to), delay);
+        self.state
+            .lock()
+            .unwrap()
+            .slow
+            .insert(pair(from, to), delay);
     }
 
     /// Silences the connections that are open between two VMs.
--- a/tests/world/members.rs
+++ b/tests/world/members.rs
@@ -7,7 +7,8 @@
 };
 
 use fulmarproxy::{
-    agent, code::Code,
+    agent,
+    code::Code,
     error,
     protocol::run,
     router, settings,
@@ -94,7 +95,9 @@
         flags.extend([("service", service), ("backend", "http://engine")]);
         flags.push(("slots", &slots));
     }
-    let flags = flags.iter().map(|(flag, value)| format!("--{flag}={value}"));
+    let flags = flags
+        .iter()
+        .map(|(flag, value)| format!("--{flag}={value}"));
     let args: Vec<_> = [role.to_owned()].into_iter().chain(flags).collect();
     match settings::parse(&args, &|_| None) {
         Ok(settings::Command::Run(settings)) => *settings,
@@ -392,7 +395,9 @@
             return part;
         }
         let mut mixed = self.mixed.lock().unwrap();
-        let fits = mixed.as_ref().is_some_and(|other| other.len() == part.len());
+        let fits = mixed
+            .as_ref()
+            .is_some_and(|other| other.len() == part.len());
         let other = if fits { mixed.clone() } else { None };
         *mixed = Some(part.clone());
         other.unwrap_or(part)
--- a/tests/world/platform.rs
+++ b/tests/world/platform.rs
@@ -96,7 +96,13 @@
 
     /// Loses the next replies of writes by a VM, after the writes took effect.
     pub fn lose(&self, vm: &str, count: u32) {
-        *self.state.lock().unwrap().lost.entry(vm.to_owned()).or_default() += count;
+        *self
+            .state
+            .lock()
+            .unwrap()
+            .lost
+            .entry(vm.to_owned())
+            .or_default() += count;
     }
 
     /// Silences the watches of a VM while its calls go on.
@@ -239,22 +245,25 @@
         let connection = self.links.connect(&vm, STORE);
         let platform = self.clone();
         let first = (platform, connection, watch, vm);
-        Box::pin(stream::unfold(first, |(platform, connection, mut watch, vm)| async move {
-            loop {
-                platform.clock.sleep(WATCH_POLL).await;
-                let muted = platform.state.lock().unwrap().muted.contains(&vm);
-                if muted || !connection.back().await {
-                    continue;
+        Box::pin(stream::unfold(
+            first,
+            |(platform, connection, mut watch, vm)| async move {
+                loop {
+                    platform.clock.sleep(WATCH_POLL).await;
+                    let muted = platform.state.lock().unwrap().muted.contains(&vm);
+                    if muted || !connection.back().await {
+                        continue;
+                    }
+                    if platform.state.lock().unwrap().down {
+                        return None;
+                    }
+                    let result = platform.changes(&mut watch);
+                    if let Some(result) = result {
+                        return Some((Ok(result), (platform, connection, watch, vm)));
+                    }
                 }
-                if platform.state.lock().unwrap().down {
-                    return None;
-                }
-                let result = platform.changes(&mut watch);
-                if let Some(result) = result {
-                    return Some((Ok(result), (platform, connection, watch, vm)));
-                }
-            }
-        }))
+            },
+        ))
     }
 
     fn changes(&self, watch: &mut kv::WatchCreate) -> Option<kv::WatchResult> {
@@ -307,10 +316,7 @@
         }
     }
 
-    fn read_list(
-        self,
-        vm: String,
-    ) -> BoxFuture<'static, Result<Vec<vm_list::Vm>, error::Error>> {
+    fn read_list(self, vm: String) -> BoxFuture<'static, Result<Vec<vm_list::Vm>, error::Error>> {
         Box::pin(async move {
             let connection = self.links.connect(&vm, STORE);
             let down = self.state.lock().unwrap().down;
@@ -331,9 +337,8 @@
 
 impl State {
     fn expire(&mut self, now: Duration) {
-        let is_due = |(id, (until, _)): (&u64, &(Duration, Duration))| {
-            (*until <= now).then_some(*id)
-        };
+        let is_due =
+            |(id, (until, _)): (&u64, &(Duration, Duration))| (*until <= now).then_some(*id);
         let due: Vec<_> = self.leases.iter().filter_map(is_due).collect();
         for lease in due {
             self.leases.remove(&lease);
@@ -354,11 +359,18 @@
         let Some(head) = self.read::<config::Head>(store::HEAD_KEY) else {
             return;
         };
-        if self.published.last().is_some_and(|last| last.version == head.version) {
+        if self
+            .published
+            .last()
+            .is_some_and(|last| last.version == head.version)
+        {
             return;
         }
         let key = |digest: &String| format!("{}{digest}", store::CHUNK_PREFIX);
-        let chunks = head.chunks.values().filter_map(|digest| self.read(&key(digest)));
+        let chunks = head
+            .chunks
+            .values()
+            .filter_map(|digest| self.read(&key(digest)));
         let set = publish::join(chunks.collect::<Vec<_>>());
         self.published.push(Published {
             version: head.version,
--- a/tests/world/play.rs
+++ b/tests/world/play.rs
@@ -86,7 +86,11 @@
             let _ = writeln!(text, "{file}:{unmet}");
         }
         for violation in &self.violations {
-            let _ = writeln!(text, "{file}: {:?}: {}", violation.promise, violation.detail);
+            let _ = writeln!(
+                text,
+                "{file}: {:?}: {}",
+                violation.promise, violation.detail
+            );
         }
         let _ = write!(text, "trace:\n{}", self.trace);
         text
@@ -164,7 +168,11 @@
 
     /// Puts a router that knows only the first configuration in the place of each running one.
     fn revert_routers(&mut self) {
-        let routers = self.script.vms.iter().filter(|vm| vm.role == script::Role::Router);
+        let routers = self
+            .script
+            .vms
+            .iter()
+            .filter(|vm| vm.role == script::Role::Router);
         for vm in routers.cloned().collect::<Vec<_>>() {
             let Some(running) = self.members.find(&vm.name) else {
                 continue;
@@ -173,7 +181,8 @@
             router.start();
             let process = members::Process::Router(router);
             let owner = running.owner;
-            self.members.place(&vm.name, members::Running { process, owner });
+            self.members
+                .place(&vm.name, members::Running { process, owner });
         }
     }
 
@@ -220,7 +229,8 @@
                 members::Process::Agent(agent, engine)
             }
         };
-        self.members.place(&vm.name, members::Running { process, owner });
+        self.members
+            .place(&vm.name, members::Running { process, owner });
         self.disturb(&vm.name);
     }
 
@@ -432,7 +442,12 @@
     fn replace(&mut self, vm: &str) {
         self.kill(vm);
         self.leaving.remove(vm);
-        let found = self.script.vms.iter().find(|other| other.name == vm).cloned();
+        let found = self
+            .script
+            .vms
+            .iter()
+            .find(|other| other.name == vm)
+            .cloned();
         if let Some(found) = found {
             self.start(&found);
         }
@@ -471,8 +486,11 @@
             self.members.kill(vm);
             return;
         }
-        let (members, callers, clock) =
-            (self.members.clone(), self.callers.clone(), self.clock.clone());
+        let (members, callers, clock) = (
+            self.members.clone(),
+            self.callers.clone(),
+            self.clock.clone(),
+        );
         let vm = vm.to_owned();
         let (tx, left) = async_channel::bounded(1);
         let timers = self.clock.runtime(running.owner, 0).timers;
@@ -501,7 +519,9 @@
         clock.start(running.owner, Box::pin(leaving));
         let ending = async move {
             let _ = left.recv().await;
-            let same = members.find(&vm).is_some_and(|now| now.owner == running.owner);
+            let same = members
+                .find(&vm)
+                .is_some_and(|now| now.owner == running.owner);
             if same {
                 members.kill(&vm);
             }
@@ -536,14 +556,19 @@
                 _ => vm_list::VmRole::Agent,
             },
             address: links::address_of(&vm.name),
-            region: vm.zone.rsplit_once('-').map_or(&*vm.zone, |(region, _)| region).into(),
+            region: vm
+                .zone
+                .rsplit_once('-')
+                .map_or(&*vm.zone, |(region, _)| region)
+                .into(),
             zone: vm.zone.as_str().into(),
             state: match self.leaving.contains_key(&vm.name) {
                 true => vm_list::VmState::Leaving,
                 false => vm_list::VmState::Live,
             },
         };
-        self.platform.list(self.script.vms.iter().map(entry).collect());
+        self.platform
+            .list(self.script.vms.iter().map(entry).collect());
     }
 
     fn publish(
@@ -592,10 +617,13 @@
 
     /// Whether an incarnation still runs.
     pub fn lives(&self, incarnation: member::Incarnation) -> bool {
-        self.members.all().values().any(|running| match &running.process {
-            members::Process::Router(router) => router.member.incarnation == incarnation,
-            members::Process::Agent(agent, _) => agent.member.incarnation == incarnation,
-        })
+        self.members
+            .all()
+            .values()
+            .any(|running| match &running.process {
+                members::Process::Router(router) => router.member.incarnation == incarnation,
+                members::Process::Agent(agent, _) => agent.member.incarnation == incarnation,
+            })
     }
 
     /// All running routers.
@@ -618,7 +646,8 @@
     pub fn undisturbed_since(&self, vm: &str) -> Duration {
         let own = self.disturbed.get(vm).copied().unwrap_or_default();
         let store = self.disturbed.get(platform::STORE).copied();
-        own.max(store.unwrap_or_default()).max(self.platform.disturbed())
+        own.max(store.unwrap_or_default())
+            .max(self.platform.disturbed())
     }
 
     /// Whether a fault hit one of the VMs that a send went through.
@@ -639,7 +668,9 @@
         for sent in &sent {
             let (at, end) = match &sent.end {
                 None => (Duration::ZERO, "no end".to_owned()),
-                Some((at, callers::End::Whole(body))) => (*at, format!("whole, {} bytes", body.len())),
+                Some((at, callers::End::Whole(body))) => {
+                    (*at, format!("whole, {} bytes", body.len()))
+                }
                 Some((at, other)) => (*at, format!("{other:?}")),
             };
             let (label, to) = (&sent.send.label, &sent.send.to);
--- a/tests/world/script.rs
+++ b/tests/world/script.rs
@@ -231,7 +231,12 @@
         ["run", "until", end] => script.end = time(end)?,
         ["at", at, action @ ..] => {
             let (at, action) = (time(at)?, action_of(action)?);
-            script.steps.push(Step { at, line, text, action });
+            script.steps.push(Step {
+                at,
+                line,
+                text,
+                action,
+            });
         }
         ["from", from, "to", to, "every", period, "send", rest @ ..] => {
             let send = send_of(rest)?;
@@ -241,15 +246,29 @@
                 count += 1;
                 let label = format!("{}-{count}", send.label);
                 let key = send.key.as_ref().map(|key| format!("{key}-{count}"));
-                let action = Action::Send(Send { label, key, ..send.clone() });
-                script.steps.push(Step { at, line, text: text.clone(), action });
+                let action = Action::Send(Send {
+                    label,
+                    key,
+                    ..send.clone()
+                });
+                script.steps.push(Step {
+                    at,
+                    line,
+                    text: text.clone(),
+                    action,
+                });
                 at += period.max(Duration::from_millis(1));
             }
         }
         ["expect", rest @ ..] => {
             let action = Action::Expect(expect_of(rest)?);
             let at = Duration::MAX;
-            script.steps.push(Step { at, line, text, action });
+            script.steps.push(Step {
+                at,
+                line,
+                text,
+                action,
+            });
         }
         other => return Err(format!("unknown statement {:?}", other.join(" "))),
     }
@@ -383,6 +402,8 @@
     if let Some(ms) = text.strip_suffix("ms") {
         return number(ms).map(Duration::from_millis);
     }
-    let seconds = text.strip_suffix('s').ok_or_else(|| format!("{text:?} is no time"))?;
+    let seconds = text
+        .strip_suffix('s')
+        .ok_or_else(|| format!("{text:?} is no time"))?;
     number(seconds).map(Duration::from_secs)
 }
