--- a/src/coordination.rs
+++ b/src/coordination.rs
@@ -13,6 +13,7 @@
 pub mod draw;
 pub mod ejection;
 pub mod escrow;
+pub mod fair_queue;
 pub mod history;
 pub mod membership;
 pub mod orders;
--- a/src/router.rs
+++ b/src/router.rs
@@ -15,7 +15,7 @@
     code,
     coordination::{crashes, ejection, escrow, retry, roster},
     error,
-    protocol::{fleet_capnp, messages},
+    protocol::fleet_capnp,
     settings,
     state::{fences, member, name},
     transport::{admin, dialler, fleet, fleet_link, router_rpc, runtime, store, vms, workers},
@@ -33,6 +33,7 @@
 mod members;
 mod orders;
 mod pull;
+mod queue;
 mod record;
 mod recovery;
 mod refill;
@@ -42,9 +43,6 @@
 
 const IDLE_POLL: Duration = Duration::from_millis(50);
 
-/// Most crash reports that one message to another router holds.
-const CRASHES_TOLD: usize = 256;
-
 /// What a router is made of.
 pub struct Parts {
     /// Checked settings.
@@ -88,6 +86,7 @@
     registry: registry::Registry,
     resolve: resolve::Resolve,
     recovery: recovery::Recovery,
+    queues: queue::Queues,
     in_flight: AtomicU32,
     leaving: AtomicBool,
 }
@@ -125,6 +124,7 @@
             registry: registry::Registry::default(),
             resolve: resolve::Resolve::default(),
             recovery: recovery::Recovery::default(),
+            queues: queue::Queues::default(),
             in_flight: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
         })
@@ -147,21 +147,6 @@
         self.config.read().unwrap().clone()
     }
 
-    /// Requests that were there at crashes, to tell other routers.
-    pub fn export_crashes(&self) -> Vec<messages::Crash> {
-        let now = self.runtime.timers.now();
-        self.crashes.lock().unwrap().export(now, CRASHES_TOLD)
-    }
-
-    /// Takes what another router tells of crashes.
-    pub fn merge_crashes(&self, told: &[messages::Crash]) {
-        let now = self.runtime.timers.now();
-        let mut crashes = self.crashes.lock().unwrap();
-        for report in told {
-            crashes.merge(*report, now);
-        }
-    }
-
     /// Tells why the router is not ready; `None` when it is.
     pub fn readiness(&self) -> Option<String> {
         if self.leaving.load(Ordering::Relaxed) {
