--- a/tests/direct/mod.rs
+++ b/tests/direct/mod.rs
@@ -25,8 +25,7 @@
 const WAIT: Duration = Duration::from_secs(60);
 
 fn read_settings(role: &str, name: &str) -> settings::Settings {
-    let key = std::env::temp_dir().join(format!("fulmar-orders-{}.key", std::process::id()));
-    std::fs::write(&key, "a key for tests only").unwrap();
+    let key = concat!(env!("CARGO_MANIFEST_DIR"), "/Cargo.toml");
     let args = [
         role,
         "--name",
@@ -44,7 +43,7 @@
         "--backend",
         "http://unused",
         "--fleet-key-file",
-        key.to_str().unwrap(),
+        key,
     ];
     let args: Vec<String> = args.iter().map(|arg| (*arg).to_owned()).collect();
     match settings::parse(&args, &|_| None) {
@@ -59,6 +58,7 @@
     values: Arc<Mutex<key_values::KeyValues>>,
     leases: Arc<AtomicU64>,
     ended: Arc<Mutex<Vec<u64>>>,
+    unreachable: Cut,
 }
 
 impl Platform {
@@ -79,15 +79,15 @@
     }
 
     pub fn store(&self) -> store::Store {
-        self.store_of("".into(), Cut::default())
+        self.store_of("".into())
     }
 
     /// The store as a member reaches it.
-    fn store_of(&self, member: name::Name, cut: Cut) -> store::Store {
+    fn store_of(&self, member: name::Name) -> store::Store {
         let platform = self.clone();
         store::Store {
             carry: Arc::new(move |call| {
-                let reachable = !cut.lock().unwrap().contains(&member);
+                let reachable = !platform.unreachable.lock().unwrap().contains(&member);
                 let reply = reachable.then(|| platform.carry(call)).ok_or_else(lost);
                 Box::pin(async move { reply })
             }),
@@ -95,6 +95,12 @@
         }
     }
 
+    /// Cuts members off from the store.
+    pub fn cut(&self, members: &[&str]) {
+        let members = members.iter().map(|member| (*member).into());
+        *self.unreachable.lock().unwrap() = members.collect();
+    }
+
     pub fn end_lease(&self, lease: u64) {
         self.ended.lock().unwrap().push(lease);
         self.values.lock().unwrap().end_lease(lease);
@@ -194,6 +200,7 @@
     /// Cuts members off from the store and from all others but one another.
     pub fn cut(&self, members: &[&str]) {
         *self.cut.lock().unwrap() = members.iter().map(|member| (*member).into()).collect();
+        self.platform.cut(members);
     }
 
     pub fn router(&self, index: usize) -> Arc<router::Router> {
@@ -203,7 +210,7 @@
             address: address.clone(),
             runtime: runtime::Runtime::default(),
             fleet: self.fleet(&address),
-            store: self.platform.store_of(address.clone(), self.cut.clone()),
+            store: self.platform.store_of(address.clone()),
             vms: self.vms(),
         });
         self.routers.lock().unwrap().push((address, router.clone()));
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -30,7 +30,7 @@
 #[test]
 fn a_router_without_the_store_follows_its_peers() {
     let world = direct::World::default();
-    world.cut(&["store-less"]);
+    world.platform.cut(&["Router:1"]);
     world.publish(0);
     let [first, second] = pair(&world);
     direct::wait_for("the first version", || version(&second) == 1);
