--- a/src/router/ask.rs
+++ b/src/router/ask.rs
@@ -2,7 +2,10 @@
 
 use std::sync::Arc;
 
-use crate::router::{Router, exchange, request};
+use crate::{
+    code::Code,
+    router::{Router, exchange, follow, request},
+};
 
 /// What a caller sent.
 #[derive(Clone, Debug, Default)]
@@ -29,6 +32,10 @@
         self: &Arc<Self>,
         ask: &Ask,
     ) -> Result<(request::Request, exchange::Answer), request::Refusal> {
+        if follow::is_isolated(self) {
+            let message = "the router has been cut off from the store and all peers for long";
+            return Err(request::Refusal::not_run(Code::StaleConfig, message));
+        }
         let in_force = self.config();
         let workspace = request::workspace_of(&in_force, ask.authorization.as_deref())?;
         let mut rng = self.runtime.rng();
--- a/src/router/exchange.rs
+++ b/src/router/exchange.rs
@@ -16,7 +16,7 @@
     },
     protocol::{messages, run},
     router::{
-        Router, billing, claims,
+        Router, billing, claims, follow,
         pull::{Next, Pull},
         request,
     },
@@ -32,11 +32,6 @@
 /// When to come back if no backend server can take a request now.
 const BUSY_RETRY: Duration = Duration::from_secs(1);
 
-/// Longest wait for a configuration that an agent has seen and this router has not.
-const CONFIG_LIMIT: Duration = Duration::from_secs(2);
-
-const CONFIG_POLL: Duration = Duration::from_millis(50);
-
 /// Counts a request in flight while it lives.
 pub struct InFlight(Arc<Router>);
 
@@ -229,12 +224,8 @@
     deadline: timers::Now,
 ) -> bool {
     let timers = &router.runtime.timers;
-    let newer = async {
-        while router.config().config.version < outcome.config {
-            timers.sleep(CONFIG_POLL).await;
-        }
-    };
-    if outcome.code == Code::StaleConfig && timers.within(CONFIG_LIMIT, newer).await.is_none() {
+    let stale = outcome.code == Code::StaleConfig;
+    if stale && !follow::catch_up(router, outcome.config).await {
         return false;
     }
     let pause = retry::backoff(number, &mut router.runtime.rng());
--- a/tests/direct/mod.rs
+++ b/tests/direct/mod.rs
@@ -127,6 +127,7 @@
     pub bodies: Arc<Mutex<Vec<serde_json::Value>>>,
     pub listed: Arc<Mutex<Vec<vm_list::Vm>>>,
     cut: Cut,
+    skipped: Arc<AtomicU64>,
 }
 
 fn lost() -> fulmarproxy::error::Error {
@@ -197,6 +198,19 @@
         }
     }
 
+    /// Makes every clock jump ahead, in seconds.
+    pub fn skip(&self, seconds: u64) {
+        self.skipped.fetch_add(seconds, Ordering::Relaxed);
+    }
+
+    fn runtime(&self) -> runtime::Runtime {
+        let mut runtime = runtime::Runtime::default();
+        let (read, skipped) = (runtime.timers.read.clone(), self.skipped.clone());
+        let ahead = move || Duration::from_secs(skipped.load(Ordering::Relaxed));
+        runtime.timers.read = Arc::new(move || read() + ahead());
+        runtime
+    }
+
     /// Cuts members off from the store and from all others but one another.
     pub fn cut(&self, members: &[&str]) {
         *self.cut.lock().unwrap() = members.iter().map(|member| (*member).into()).collect();
@@ -208,7 +222,7 @@
         let router = router::Router::new(router::Parts {
             settings: read_settings("router", &format!("vm-Router-{index}")),
             address: address.clone(),
-            runtime: runtime::Runtime::default(),
+            runtime: self.runtime(),
             fleet: self.fleet(&address),
             store: self.platform.store_of(address.clone()),
             vms: self.vms(),
@@ -224,7 +238,7 @@
         let agent = agent::Agent::new(agent::Parts {
             settings: read_settings("agent", &format!("vm-Agent-{index}")),
             address: address.clone(),
-            runtime: runtime::Runtime::default(),
+            runtime: self.runtime(),
             fleet: self.fleet(&address),
             vms: self.vms(),
             backend: backend::Backend {
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -4,7 +4,12 @@
 
 use std::sync::Arc;
 
-use fulmarproxy::{agent, protocol::vm_list, router, router::follow};
+use fulmarproxy::{
+    agent,
+    code::Code,
+    protocol::vm_list,
+    router::{self, ask, follow},
+};
 
 fn version(router: &router::Router) -> u64 {
     router.config().config.version
@@ -115,3 +120,31 @@
     });
     assert_eq!(status(&first)["watches"], true);
 }
+
+fn refusal(router: &Arc<router::Router>) -> Code {
+    let ask = ask::Ask::default();
+    match smol::block_on(router.ask(&ask)) {
+        Ok(_) => Code::Ok,
+        Err(refusal) => refusal.code,
+    }
+}
+
+#[test]
+fn a_router_cut_off_from_all_takes_requests_for_a_while_only() {
+    let world = direct::World::default();
+    world.publish(0);
+    let [first, second] = pair(&world);
+    direct::wait_for("the first version", || {
+        version(&first) == 1 && version(&second) == 1
+    });
+    world.cut(&["Router:1"]);
+    assert_eq!(refusal(&second), Code::BadKey);
+    direct::wait_for("the limit to pass", || {
+        world.skip(follow::ISOLATION_LIMIT.as_secs());
+        refusal(&second) == Code::StaleConfig
+    });
+    assert!(second.readiness().unwrap().contains("has answered"));
+    world.cut(&[]);
+    direct::wait_for("the cut to heal", || refusal(&second) == Code::BadKey);
+    assert_eq!(second.readiness(), None);
+}
