--- a/src/ctl.rs
+++ b/src/ctl.rs
@@ -264,12 +264,15 @@
     let entry = cut::read_entry(store, name).await?.unwrap_or_default();
     let (records, _) = store.list(store::HOLDER_PREFIX).await?;
     let mut spent = entry.closed;
+    let mut holders = Vec::new();
     for kv in &records {
         let record: holder_record::HolderRecord = kv::decode(kv)?;
-        if entry.shares.contains_key(&record.member.incarnation)
-            && let Some(figures) = record.budgets.get(name)
-        {
-            spent = spent.saturating_add_unsigned(figures.spent);
+        let share = entry.shares.get(&record.member.incarnation);
+        let own = record.budgets.get(name).map_or(0, |own| own.spent);
+        if let Some(share) = share {
+            spent = spent.saturating_add_unsigned(own);
+            let holder = record.member.name;
+            holders.push(json!({ "router": holder, "granted": share.granted, "spent": own }));
         }
     }
     let (total, committed) = (budget.prepaid_tokens, entry.committed());
@@ -277,7 +280,7 @@
         return print(
             out,
             &json!({ "name": name, "prepaid_tokens": total, "spent": spent,
-                "committed": committed as i64, "holders": entry.shares.len(), "cap": entry.cap }),
+                "committed": committed as i64, "holders": holders, "cap": entry.cap }),
         );
     }
     writeln!(out, "budget {name}: {total} tokens prepaid, {spent} spent,")?;
@@ -286,6 +289,15 @@
         "{committed} spent or granted to {} routers.",
         entry.shares.len()
     )?;
+    for holder in &holders {
+        let router = holder["router"].as_str().unwrap_or_default();
+        let granted = &holder["granted"];
+        writeln!(
+            out,
+            "router {router}: granted {granted}, spent {}",
+            holder["spent"]
+        )?;
+    }
     Ok(())
 }
 
