--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod ctl;
 pub mod daemon;
 pub mod error;
+pub mod flags;
 pub mod load;
 pub mod logging;
 pub mod protocol;
--- a/src/load/main.rs
+++ b/src/load/main.rs
@@ -25,7 +25,7 @@
 
 fn run(args: &[String]) -> Result<(), error::Error> {
     let Some(options) = options::parse(args)? else {
-        print!("{}", options::USAGE);
+        print!("{}", options::usage());
         return Ok(());
     };
     let report = runner::run(&options)?;
--- a/src/load/options.rs
+++ b/src/load/options.rs
@@ -1,55 +1,42 @@
 //! Flags of the load tool.
 
-use std::{fmt::Display, ops::RangeInclusive, str::FromStr, time::Duration};
+use std::{ops::RangeInclusive, time::Duration};
 
-use crate::error;
+use crate::{error, flags};
 
-/// Help text of the load tool.
-pub const USAGE: &str = "Usage: fulmar-load --targets URL,URL [FLAGS]
-
-  --targets URL,URL        Routers, taken in turn.
-  --direct                 The targets are engines, not routers.
-  --compare URL            Send every second request to this engine instead, and compare.
-  --keys KEY*WEIGHT,KEY    Caller keys.
-  --model NAME*WEIGHT,NAME Model routes.
-  --rate R                 Requests per second.
-  --seconds N              Time that requests are sent for.
-  --seed N                 Seed of arrivals and contents.
-  --prompt-words A..B      Words of a prompt.
-  --prefixes N             Prompts begin with one of N shared prefixes; 0: none.
-  --max-tokens A..B        Tokens of an answer.
-  --stream                 Ask for streamed answers.
-  --retry N                Repeat up to N times under the same idempotency key.
-  --deadline-ms N          Longest time of an answer that still counts as goodput.
-  --timeout-ms N           Longest time of one exchange.
-  --engines URL,URL        Engines whose counts are read.
-  --store URL              Store whose budgets and bills are read.
-  --settle-ms N            Longest wait for the bills after the last answer.
-  --threads N              Threads that send.
-  --json                   Report as JSON.
-";
-
-const VALUES: &[&str] = &[
-    "targets",
-    "compare",
-    "keys",
-    "model",
-    "rate",
-    "seconds",
-    "seed",
-    "prompt-words",
-    "prefixes",
-    "max-tokens",
-    "retry",
-    "deadline-ms",
-    "timeout-ms",
-    "engines",
-    "store",
-    "settle-ms",
-    "threads",
+/// Every flag of the load tool.
+pub const FLAGS: &[flags::Flag] = &[
+    flags::value("targets", "URL,URL", "Routers, taken in turn"),
+    flags::switch("direct", "The targets are engines, not routers"),
+    flags::value("compare", "URL", "Send every second request to this engine"),
+    flags::value("keys", "KEY*WEIGHT,KEY", "Caller keys"),
+    flags::value("model", "NAME*WEIGHT,NAME", "Model routes"),
+    flags::value("rate", "R", "Requests per second"),
+    flags::value("seconds", "N", "Time that requests are sent for"),
+    flags::value("seed", "N", "Seed of arrivals and contents"),
+    flags::value("prompt-words", "A..B", "Words of a prompt"),
+    flags::value("prefixes", "N", "Shared prefixes that prompts begin with"),
+    flags::value("max-tokens", "A..B", "Tokens of an answer"),
+    flags::switch("stream", "Ask for streamed answers"),
+    flags::value("retry", "N", "Repeats under the same idempotency key"),
+    flags::value("deadline-ms", "N", "Longest time of an answer in goodput"),
+    flags::value("timeout-ms", "N", "Longest time of one exchange"),
+    flags::value("engines", "URL,URL", "Engines whose counts are read"),
+    flags::value("store", "URL", "Store whose budgets and bills are read"),
+    flags::value("settle-ms", "N", "Longest wait for the bills at the end"),
+    flags::value("threads", "N", "Threads that send"),
+    flags::switch("json", "Report as JSON"),
 ];
 
-const SWITCHES: &[&str] = &["direct", "stream", "json", "help"];
+/// Help text of the load tool.
+///
+/// ```
+/// assert!(fulmarproxy::load::options::usage().contains("--targets"));
+/// ```
+pub fn usage() -> String {
+    let flags = flags::help(FLAGS);
+    format!("Usage: fulmar-load --targets URL,URL [FLAGS]\n\n{flags}")
+}
 
 /// A name and how often it is chosen.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -118,14 +105,7 @@
 /// assert_eq!(options.keys[0].weight, 3);
 /// ```
 pub fn parse(args: &[String]) -> Result<Option<Options>, error::Error> {
-    let mut flags = getopts::Options::new();
-    for flag in VALUES {
-        flags.optopt("", flag, "", "VALUE");
-    }
-    for flag in SWITCHES {
-        flags.optflag("", flag, "");
-    }
-    let matches = flags.parse(args)?;
+    let matches = flags::parse(FLAGS, args)?;
     if matches.opt_present("help") {
         return Ok(None);
     }
@@ -139,37 +119,31 @@
         compare: matches.opt_str("compare"),
         keys: weighted(matches, "keys", "none")?,
         models: weighted(matches, "model", "quick")?,
-        rate: value(matches, "rate", 10.0)?,
-        length: Duration::from_secs_f64(value(matches, "seconds", 10.0)?),
-        seed: value(matches, "seed", 1)?,
+        rate: flags::number(matches, "rate", 10.0)?,
+        length: Duration::from_secs_f64(flags::number(matches, "seconds", 10.0)?),
+        seed: flags::number(matches, "seed", 1)?,
         prompt_words: range(matches, "prompt-words", 5..=50)?,
-        prefixes: value(matches, "prefixes", 0)?,
+        prefixes: flags::number(matches, "prefixes", 0)?,
         max_tokens: range(matches, "max-tokens", 8..=64)?,
         stream: matches.opt_present("stream"),
-        retries: value(matches, "retry", 0)?,
-        deadline: Duration::from_millis(value(matches, "deadline-ms", 30_000)?),
-        timeout: Duration::from_millis(value(matches, "timeout-ms", 60_000)?),
+        retries: flags::number(matches, "retry", 0)?,
+        deadline: Duration::from_millis(flags::number(matches, "deadline-ms", 30_000)?),
+        timeout: Duration::from_millis(flags::number(matches, "timeout-ms", 60_000)?),
         engines: list(matches, "engines"),
         store: matches.opt_str("store"),
-        settle: Duration::from_millis(value(matches, "settle-ms", 5_000)?),
-        threads: value(matches, "threads", 2)?,
+        settle: Duration::from_millis(flags::number(matches, "settle-ms", 5_000)?),
+        threads: flags::number(matches, "threads", 2)?,
         json: matches.opt_present("json"),
     };
     if options.targets.is_empty() {
-        return Err(wrong("targets", "one address or more"));
+        return Err(flags::wrong("targets", "one address or more"));
     }
     if !options.rate.is_finite() || options.rate <= 0.0 {
-        return Err(wrong("rate", "a number above 0"));
+        return Err(flags::wrong("rate", "a number above 0"));
     }
     Ok(options)
 }
 
-fn wrong(flag: &str, allowed: impl Display) -> error::Error {
-    error::Error::Argument {
-        message: format!("--{flag} takes {allowed}"),
-    }
-}
-
 fn list(matches: &getopts::Matches, flag: &str) -> Vec<String> {
     let given = matches.opt_str(flag).unwrap_or_default();
     let items = given.split(',').filter(|item| !item.is_empty());
@@ -196,13 +170,7 @@
         items.push(usual.to_owned());
     }
     let read: Option<_> = items.iter().map(read).collect();
-    read.ok_or_else(|| wrong(flag, "names with weights above 0"))
-}
-
-fn value<T: FromStr>(matches: &getopts::Matches, flag: &str, usual: T) -> Result<T, error::Error> {
-    let given = matches.opt_get(flag);
-    let given = given.map_err(|_| wrong(flag, "a number"))?;
-    Ok(given.unwrap_or(usual))
+    read.ok_or_else(|| flags::wrong(flag, "names with weights above 0"))
 }
 
 fn range(
@@ -216,6 +184,6 @@
     let (least, most) = given.split_once("..").unwrap_or((&given, &given));
     match (least.parse(), most.parse()) {
         (Ok(least), Ok(most)) if least <= most => Ok(least..=most),
-        _ => Err(wrong(flag, "a range A..B")),
+        _ => Err(flags::wrong(flag, "a range A..B")),
     }
 }
--- a/src/standin/main.rs
+++ b/src/standin/main.rs
@@ -1,53 +1,61 @@
 //! The stand-ins' main function.
 
-use std::{net::TcpListener, process::ExitCode, str::FromStr, time::Duration};
+use std::{fmt::Write, net::TcpListener, process::ExitCode, time::Duration};
 
 use crate::{
-    error,
+    error, flags,
     standin::{crash, engine, key_values, plain, platform},
 };
 
-const USAGE: &str = "Usage: fulmar-standin platform|engine|plain [FLAGS]
+/// Flags of every stand-in.
+pub const COMMON: &[flags::Flag] = &[flags::value("listen", "ADDR", "Address to listen on")];
 
-Flags of all:
-  --listen ADDR        Address to listen on.
-
-Flags of a platform:
-  --history N          Changes that the key-value service remembers.
-
-Flags of an engine:
-  --token-micros N     Time from one token to the next, in microseconds.
-  --prompt-micros N    Time to read a prompt token that is not cached, in microseconds.
-  --slots N            Requests that run at once.
-  --queue N            Requests that wait for a slot; further ones are refused.
-  --cache N            Blocks of prompt prefixes kept in memory.
-  --load-lag-ms N      Age of the load that is reported, in milliseconds.
-  --crash-on TEXT      Text whose presence in a prompt crashes the engine.
-  --crash-soft         Break the streams only, and let the process live on.
-  --restart-ms N       Time that a soft crash takes, in milliseconds.
-  --checks-fencing     Refuse orders that carry an old fencing number.
-  --load-ms N          Time that an order takes, in milliseconds.
-
-Flags of a plain service:
-  --delay-ms N         Time that each call takes, in milliseconds.
-";
-
-const VALUES: &[&str] = &[
-    "listen",
+/// Flags of a platform.
+pub const PLATFORM: &[flags::Flag] = &[flags::value(
     "history",
-    "token-micros",
-    "prompt-micros",
-    "slots",
-    "queue",
-    "cache",
-    "load-lag-ms",
-    "crash-on",
-    "restart-ms",
-    "load-ms",
-    "delay-ms",
+    "N",
+    "Changes that the key-value service remembers",
+)];
+
+/// Flags of a model engine.
+pub const ENGINE: &[flags::Flag] = &[
+    flags::value("token-micros", "N", "Time from one token to the next"),
+    flags::value(
+        "prompt-micros",
+        "N",
+        "Time to read a prompt token not cached",
+    ),
+    flags::value("slots", "N", "Requests that run at once"),
+    flags::value("queue", "N", "Requests that wait; further ones are refused"),
+    flags::value("cache", "N", "Blocks of prompt prefixes kept in memory"),
+    flags::value("load-lag-ms", "N", "Age of the load that is reported"),
+    flags::value(
+        "crash-on",
+        "TEXT",
+        "Text in a prompt that crashes the engine",
+    ),
+    flags::switch("crash-soft", "Break the streams only; the process lives on"),
+    flags::value("restart-ms", "N", "Time that a soft crash takes"),
+    flags::switch("checks-fencing", "Refuse orders with an old fencing number"),
+    flags::value("load-ms", "N", "Time that an order takes"),
 ];
 
-const SWITCHES: &[&str] = &["crash-soft", "checks-fencing"];
+/// Flags of a plain service.
+pub const PLAIN: &[flags::Flag] = &[flags::value("delay-ms", "N", "Time that each call takes")];
+
+fn usage() -> String {
+    let mut text = "Usage: fulmar-standin platform|engine|plain [FLAGS]\n".to_owned();
+    let groups = [
+        ("Flags of all", COMMON),
+        ("Flags of a platform", PLATFORM),
+        ("Flags of an engine", ENGINE),
+        ("Flags of a plain service", PLAIN),
+    ];
+    for (title, table) in groups {
+        let _ = write!(text, "\n{title}:\n{}", flags::help(table));
+    }
+    text
+}
 
 /// Runs a stand-in with arguments that exclude the program's name.
 ///
@@ -65,22 +73,11 @@
     }
 }
 
-fn parse(args: &[String]) -> Result<getopts::Matches, error::Error> {
-    let mut options = getopts::Options::new();
-    for flag in VALUES {
-        options.optopt("", flag, "", "VALUE");
-    }
-    for flag in SWITCHES {
-        options.optflag("", flag, "");
-    }
-    options.optflag("h", "help", "");
-    Ok(options.parse(args)?)
-}
-
 fn run(args: &[String]) -> Result<(), error::Error> {
-    let matches = parse(args)?;
+    let table = [COMMON, PLATFORM, ENGINE, PLAIN].concat();
+    let matches = flags::parse(&table, args)?;
     if matches.opt_present("help") {
-        print!("{USAGE}");
+        print!("{}", usage());
         return Ok(());
     }
     let listen = matches.opt_str("listen");
@@ -88,7 +85,7 @@
     let address = listener.local_addr()?;
     let running = match matches.free.first().map(String::as_str) {
         Some("platform") => {
-            let history = number(&matches, "history", key_values::HISTORY_CHANGES)?;
+            let history = flags::number(&matches, "history", key_values::HISTORY_CHANGES)?;
             platform::start(listener, history)?
         }
         Some("engine") => engine::start(listener, engine_options(&matches)?)?,
@@ -112,9 +109,9 @@
     Ok(engine::Options {
         token_interval: micros(matches, "token-micros", usual.token_interval)?,
         prompt_token_time: micros(matches, "prompt-micros", usual.prompt_token_time)?,
-        slots: number(matches, "slots", usual.slots)?,
-        queue: number(matches, "queue", usual.queue)?,
-        cache: number(matches, "cache", usual.cache)?,
+        slots: flags::number(matches, "slots", usual.slots)?,
+        queue: flags::number(matches, "queue", usual.queue)?,
+        cache: flags::number(matches, "cache", usual.cache)?,
         load_lag: millis(matches, "load-lag-ms", usual.load_lag)?,
         crash: crash::Options {
             on: matches.opt_str("crash-on"),
@@ -126,20 +123,12 @@
     })
 }
 
-fn number<T: FromStr>(matches: &getopts::Matches, flag: &str, usual: T) -> Result<T, error::Error> {
-    let given = matches.opt_get(flag);
-    let given = given.map_err(|_| error::Error::Argument {
-        message: format!("--{flag} takes a number"),
-    })?;
-    Ok(given.unwrap_or(usual))
-}
-
 fn micros(
     matches: &getopts::Matches,
     flag: &str,
     usual: Duration,
 ) -> Result<Duration, error::Error> {
-    let micros = number(matches, flag, usual.as_micros() as u64)?;
+    let micros = flags::number(matches, flag, usual.as_micros() as u64)?;
     Ok(Duration::from_micros(micros))
 }
 
@@ -148,6 +137,6 @@
     flag: &str,
     usual: Duration,
 ) -> Result<Duration, error::Error> {
-    let millis = number(matches, flag, usual.as_millis() as u64)?;
+    let millis = flags::number(matches, flag, usual.as_millis() as u64)?;
     Ok(Duration::from_millis(millis))
 }
--- a/tests/load.rs
+++ b/tests/load.rs
@@ -14,7 +14,7 @@
 use fulmarproxy::{
     coordination::publish,
     load::{answer, options, plan, report, runner},
-    standin::{engine, platform},
+    standin::{engine, main, platform},
     transport::{http, store},
 };
 use serde_json::{Value, json};
@@ -281,3 +281,20 @@
     assert!((7_000..8_000).contains(&heavy), "{heavy}");
     assert!(planned.is_sorted_by_key(|planned| planned.at));
 }
+
+#[test]
+fn each_flag_is_in_the_page() {
+    let page = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("bench/README.md");
+    let page = std::fs::read_to_string(page).unwrap();
+    let tables = [
+        options::FLAGS,
+        main::COMMON,
+        main::PLATFORM,
+        main::ENGINE,
+        main::PLAIN,
+    ];
+    for flag in tables.concat() {
+        let named = format!("--{} {}", flag.name, flag.value);
+        assert!(page.contains(&format!("`{}`", named.trim_end())), "{named}");
+    }
+}
