--- a/src/coordination/account.rs
+++ b/src/coordination/account.rs
@@ -1,10 +1,44 @@
 //! Tokens of one budget in the hands of one holder.
 
+use std::time::Duration;
+
 use crate::{
     coordination::demand,
     state::{holder_record, ledger},
 };
 
+/// Time for which a source that had nothing is not asked again.
+const DRY_TIME: Duration = Duration::from_millis(500);
+
+/// A source of tokens that had nothing to give.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Dry {
+    version: u64,
+    until: Duration,
+}
+
+impl Dry {
+    /// Notes that the source had nothing under a configuration version.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let mut dry = fulmarproxy::coordination::account::Dry::default();
+    /// dry.note(3, Duration::ZERO);
+    /// assert!(dry.holds(3, Duration::from_millis(1)));
+    /// assert!(!dry.holds(4, Duration::from_millis(1)));
+    /// assert!(!dry.holds(3, Duration::from_secs(1)));
+    /// ```
+    pub fn note(&mut self, version: u64, now: Duration) {
+        self.version = version;
+        self.until = now + DRY_TIME;
+    }
+
+    /// Whether the source need not be asked again yet.
+    pub fn holds(&self, version: u64, now: Duration) -> bool {
+        version == self.version && now < self.until
+    }
+}
+
 /// Share in the ledger, cumulative figures and reservations of one budget.
 #[derive(Clone, Debug, Default)]
 pub struct Account {
@@ -22,6 +56,10 @@
     pub free: u64,
     /// Tokens free or in the hands of others, as last read.
     pub elsewhere: u64,
+    /// The ledger, after it had nothing free.
+    pub dry_ledger: Dry,
+    /// The peers, after they had nothing available.
+    pub dry_peers: Dry,
     /// Rate at which tokens are asked for.
     pub demand: demand::Demand,
 }
--- a/src/coordination/demand.rs
+++ b/src/coordination/demand.rs
@@ -3,13 +3,19 @@
 use std::time::Duration;
 
 /// Time over which past demand fades.
-pub const FADE: Duration = Duration::from_secs(60);
+pub const FADE: Duration = Duration::from_secs(300);
 
 /// Part of the free tokens that one grant may take beyond what is needed at once.
 const FREE_DIVISOR: u64 = 8;
 
 /// Tokens are given back above this multiple of the target.
-const IDLE_MULTIPLE: u64 = 2;
+const IDLE_MULTIPLE: u64 = 4;
+
+/// Tokens kept when some are given back, as a multiple of the target.
+const KEPT_MULTIPLE: u64 = 2;
+
+/// Part of the target that a grant takes on top, so that grants are not asked for one by one.
+const HEADROOM_DIVISOR: u64 = 4;
 
 /// A rate of tokens that fades exponentially.
 #[derive(Clone, Copy, Debug, Default)]
@@ -24,7 +30,7 @@
     /// ```
     /// use std::time::Duration;
     /// let mut demand = fulmarproxy::coordination::demand::Demand::default();
-    /// demand.note(600, Duration::ZERO);
+    /// demand.note(3000, Duration::ZERO);
     /// assert_eq!(demand.target(Duration::from_secs(10)), 100);
     /// ```
     pub fn note(&mut self, tokens: u64, now: Duration) {
@@ -52,16 +58,30 @@
     needed.max(missing.min(free / FREE_DIVISOR))
 }
 
+/// Tokens that a holder lacks to live from its own hand for as long as it must.
+///
+/// ```
+/// use fulmarproxy::coordination::demand;
+/// assert_eq!(demand::missing(100, 100), 0);
+/// assert_eq!(demand::missing(90, 100), 35);
+/// ```
+pub fn missing(available: u64, target: u64) -> u64 {
+    if available >= target {
+        return 0;
+    }
+    target + target / HEADROOM_DIVISOR - available
+}
+
 /// Tokens that a holder gives back because it will not need them.
 ///
 /// ```
 /// use fulmarproxy::coordination::demand;
-/// assert_eq!(demand::idle(100, 20), 80);
-/// assert_eq!(demand::idle(30, 20), 0);
+/// assert_eq!(demand::idle(100, 20), 60);
+/// assert_eq!(demand::idle(80, 20), 0);
 /// ```
 pub fn idle(available: u64, target: u64) -> u64 {
     if available > target.saturating_mul(IDLE_MULTIPLE) {
-        available - target
+        available - target.saturating_mul(KEPT_MULTIPLE)
     } else {
         0
     }
--- a/src/router/billing.rs
+++ b/src/router/billing.rs
@@ -136,8 +136,8 @@
         if account.withheld > 0 {
             return Some(steps::Change::Return(account.withheld));
         }
-        let missing = target.saturating_sub(available);
-        let low = available < target / 2 && account.free > 0;
+        let missing = demand::missing(available, target);
+        let low = missing > 0 && account.free > 0;
         low.then_some(steps::Change::Grant { needed: 0, missing })
     })
 }
--- a/src/router/draw.rs
+++ b/src/router/draw.rs
@@ -34,6 +34,14 @@
     if record::ensure(router).await.is_err() {
         return drawn;
     }
+    let (version, now) = (router.config().config.version, router.runtime.timers.now());
+    if router
+        .escrow
+        .with(budget, |a| a.dry_peers.holds(version, now))
+    {
+        drawn.everything = true;
+        return drawn;
+    }
     let peers = router.peers.lock().unwrap().clone();
     drawn.everything = true;
     for share in [peers.len().max(1) as u64, 1] {
@@ -51,6 +59,11 @@
         }
     }
     drawn.enough = missing(router, budget, tokens) == 0;
+    if drawn.everything && drawn.free == 0 && !drawn.enough {
+        router
+            .escrow
+            .with(budget, |a| a.dry_peers.note(version, now));
+    }
     let result = if drawn.enough { "enough" } else { "short" };
     counter!("fulmar_draws", "result" => result).increment(1);
     drawn
--- a/src/router/refill.rs
+++ b/src/router/refill.rs
@@ -5,7 +5,7 @@
 use metrics::counter;
 
 use crate::{
-    coordination::refill as steps,
+    coordination::{demand, refill as steps},
     error,
     protocol::kv,
     router::{Router, record},
@@ -28,6 +28,9 @@
 pub async fn take(router: &Router, budget: &name::Name, tokens: u64) -> Result<u64, error::Error> {
     let billing = &router.billing;
     let bucket = ledger::bucket_of(budget);
+    if let Some(elsewhere) = dry(router, budget) {
+        return Ok(elsewhere);
+    }
     *billing
         .pending
         .lock()
@@ -37,7 +40,7 @@
     let _turn = billing.buckets[bucket as usize].lock().await;
     let available = router.escrow.with(budget, |account| account.available());
     let waiting = take_pending(router, bucket);
-    if available < tokens {
+    if available < tokens && dry(router, budget).is_none() {
         let changes = waiting.into_iter().map(|(budget, tokens)| {
             let change = grant(router, &budget, tokens);
             (budget, change)
@@ -50,6 +53,15 @@
     Ok(router.escrow.with(budget, |account| account.elsewhere))
 }
 
+/// What others hold of a budget, if the ledger had nothing free a moment ago.
+fn dry(router: &Router, budget: &name::Name) -> Option<u64> {
+    let (version, now) = (router.config().config.version, router.runtime.timers.now());
+    router.escrow.with(budget, |account| {
+        let holds = account.dry_ledger.holds(version, now);
+        holds.then_some(account.elsewhere)
+    })
+}
+
 fn take_pending(router: &Router, bucket: u64) -> BTreeMap<name::Name, u64> {
     let mut pending = router.billing.pending.lock().unwrap();
     let all = std::mem::take(&mut *pending);
@@ -68,7 +80,7 @@
         let available = account.available();
         steps::Change::Grant {
             needed: tokens.saturating_sub(available),
-            missing: account.demand.target(autonomy).saturating_sub(available),
+            missing: demand::missing(available, account.demand.target(autonomy)),
         }
     })
 }
@@ -153,6 +165,7 @@
 
 fn learn(router: &Router, bucket: &ledger::Bucket, wants: &BTreeMap<name::Name, steps::Want>) {
     let holder = router.member.incarnation;
+    let (version, now) = (router.config().config.version, router.runtime.timers.now());
     for budget in wants.keys() {
         let share = steps::share(bucket, holder, budget);
         let free = bucket.entries.get(budget).map_or(0, ledger::Entry::free);
@@ -161,6 +174,9 @@
             account.learn(share);
             account.free = free;
             account.elsewhere = elsewhere;
+            if free == 0 {
+                account.dry_ledger.note(version, now);
+            }
         });
     }
 }
