Queue requests fairly between workspaces and refuse at once what cannot meet its deadline

Cause: a workspace that floods took every slot, and requests were sent to full agents. Change: a router lets through what its pool can batch; the rest waits in bounded lanes, by priority, weighted fair between workspaces; an expected wait beyond the deadline is refused as not run, with Retry-After.

--- a/src/coordination.rs
+++ b/src/coordination.rs
@@ -16,6 +16,7 @@
 pub mod history;
 pub mod membership;
 pub mod orders;
+pub mod fair_queue;
 pub mod publish;
 pub mod receipt_log;
 pub mod refill;
--- a/src/router.rs
+++ b/src/router.rs
@@ -37,6 +37,7 @@
 mod recovery;
 mod refill;
 mod registry;
+mod queue;
 pub mod request;
 mod resolve;
 
@@ -88,6 +89,7 @@
     registry: registry::Registry,
     resolve: resolve::Resolve,
     recovery: recovery::Recovery,
+    queues: queue::Queues,
     in_flight: AtomicU32,
     leaving: AtomicBool,
 }
@@ -125,6 +127,7 @@
             registry: registry::Registry::default(),
             resolve: resolve::Resolve::default(),
             recovery: recovery::Recovery::default(),
+            queues: queue::Queues::default(),
             in_flight: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
         })
--- a/src/router/exchange.rs
+++ b/src/router/exchange.rs
@@ -18,7 +18,7 @@
     router::{
         Router, billing, claims,
         pull::{Next, Pull},
-        request, resolve,
+        queue, request, resolve,
     },
     state::{member, name},
     transport::timers,
@@ -71,6 +71,13 @@
 /// Where the caller waits for its answer; closed when the caller is gone.
 type Caller = async_channel::Sender<Result<Answer, request::Refusal>>;
 
+/// What the attempts of a request share.
+struct Call<'a> {
+    caller: &'a Caller,
+    deadline: timers::Now,
+    place: Arc<queue::Place>,
+}
+
 /// How an attempt began.
 enum Begun {
     Answer(Answer),
@@ -107,6 +114,7 @@
 ) -> Result<Answer, request::Refusal> {
     let deadline = router.runtime.timers.now() + req.deadline;
     let solo = check_crashes(router, req)?;
+    let place = take_place(router, req, caller, deadline).await?;
     let reserved = billing::reserve(router, &req.budget, req.bound).await;
     reserved.map_err(|code| budget_refusal(code, req))?;
     if req.must_claim() {
@@ -118,7 +126,12 @@
             }
         }
     }
-    let answer = dispatch(router, req, caller, deadline, solo).await;
+    let call = Call {
+        caller,
+        deadline,
+        place: Arc::new(place),
+    };
+    let answer = dispatch(router, req, &call, solo).await;
     if let Err(refusal) = &answer
         && req.must_claim()
     {
@@ -130,6 +143,21 @@
     answer
 }
 
+/// Waits for a place among the requests that run, as long as the caller waits.
+async fn take_place(
+    router: &Arc<Router>,
+    req: &request::Request,
+    caller: &Caller,
+    deadline: timers::Now,
+) -> Result<queue::Place, request::Refusal> {
+    let gone = async {
+        caller.closed().await;
+        let message = "the caller is gone";
+        Err(request::Refusal::not_run(Code::CallerGone, message))
+    };
+    smol::future::or(queue::enter(router, req, deadline), gone).await
+}
+
 /// Refuses a request that was there at crashes; tells whether it must run alone.
 fn check_crashes(router: &Router, req: &request::Request) -> Result<bool, request::Refusal> {
     let now = router.runtime.timers.now();
@@ -161,8 +189,7 @@
 async fn dispatch(
     router: &Arc<Router>,
     req: &request::Request,
-    caller: &Caller,
-    deadline: timers::Now,
+    call: &Call<'_>,
     mut solo: bool,
 ) -> Result<Answer, request::Refusal> {
     let timers = &router.runtime.timers;
@@ -178,15 +205,15 @@
             return Err(refusal.retry_after(BUSY_RETRY));
         };
         tried.push(target.member.name.clone());
-        let left = deadline.saturating_sub(timers.now());
+        let left = call.deadline.saturating_sub(timers.now());
         let message = compose(router, req, &target, number, left, solo);
-        let outcome = match begin(router, req, caller, target, message, deadline).await {
+        let outcome = match begin(router, req, call, target, message).await {
             Begun::Answer(answer) => return Ok(answer),
             Begun::Failed(outcome) => outcome,
         };
         number += 1;
         let again = may_retry(router, req, &pool, &outcome, number)
-            && await_turn(router, &outcome, number, deadline).await;
+            && await_turn(router, &outcome, number, call.deadline).await;
         if !again {
             if !outcome.ran {
                 router.escrow.release(&req.budget, req.bound);
@@ -349,17 +376,23 @@
 async fn begin(
     router: &Arc<Router>,
     req: &request::Request,
-    caller: &Caller,
+    call: &Call<'_>,
     target: Target,
     message: run::RunRequest,
-    deadline: timers::Now,
 ) -> Begun {
     let solo = message.solo;
     let agent = target.member.clone();
     let attempt = (router.fleet.run)(agent.address.clone(), message);
-    let mut pull = Pull::new(router.clone(), agent, req.id.clone(), attempt, deadline);
+    let mut pull = Pull::new(
+        router.clone(),
+        agent,
+        req.id.clone(),
+        attempt,
+        call.deadline,
+    );
+    pull.hold(call.place.clone());
     let gone = async {
-        caller.closed().await;
+        call.caller.closed().await;
         None
     };
     let next = smol::future::or(async { Some(pull.next().await) }, gone).await;
--- a/src/router/pull.rs
+++ b/src/router/pull.rs
@@ -8,7 +8,7 @@
     code::Code,
     coordination::answers,
     protocol::{messages, run},
-    router::Router,
+    router::{Router, queue},
     state::{member, name},
     transport::{fleet, timers},
 };
@@ -28,6 +28,7 @@
     lost_since: Option<timers::Now>,
     until: timers::Now,
     abandoned: bool,
+    place: Option<Arc<queue::Place>>,
 }
 
 /// What an attempt gave next.
@@ -56,9 +57,15 @@
             lost_since: None,
             until: deadline + LATE,
             abandoned: false,
+            place: None,
         }
     }
 
+    /// Keeps the request's place until the attempt has ended.
+    pub fn hold(&mut self, place: Arc<queue::Place>) {
+        self.place = Some(place);
+    }
+
     /// Waits for the next bytes or the end.
     pub async fn next(&mut self) -> Next {
         let timers = self.router.runtime.timers.clone();
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -46,6 +46,8 @@
     pub idempotent: bool,
     /// Hash of the prompt's prefix; zero when unknown.
     pub prefix: u64,
+    /// Share of the workspace under contention, relative to others.
+    pub weight: u32,
 }
 
 impl Request {
@@ -189,6 +191,7 @@
         method: ask.method.clone(),
         idempotent,
         prefix: 0,
+        weight: object.weight,
         id: id.into(),
     })
 }
@@ -260,5 +263,6 @@
         method: String::new(),
         idempotent: route.idempotent,
         prefix: prefix_of(&route.model, &chat),
+        weight: object.weight,
     })
 }
--- /dev/null
+++ b/tests/requests.rs
@@ -0,0 +1,317 @@
+//! Rules of requests, without sockets or clocks.
+
+use std::time::Duration;
+
+use fulmarproxy::{
+    code::Code,
+    coordination::{
+        answers::{self, Answers, Begin, Read},
+        claims::{self, Bucket, Change, Claim, Claimed},
+        crashes::{self, Crashes, Report, Verdict},
+        ejection::Ejection,
+        fair_queue::{Entry, FairQueue, Wanted},
+        retry, slots,
+    },
+    state::name,
+};
+
+const START: Duration = Duration::ZERO;
+
+fn key(key: &str) -> Option<answers::Key> {
+    Some(answers::Key {
+        workspace: "desk".into(),
+        key: key.into(),
+    })
+}
+
+#[test]
+fn a_key_joins_a_running_answer_and_refuses_another_body() {
+    let mut kept: Answers<u8> = Answers::new(1 << 20);
+    assert_eq!(kept.begin(&"r1".into(), key("k"), 1, START), Begin::Run);
+    let joined = kept.begin(&"r2".into(), key("k"), 1, START);
+    assert_eq!(joined, Begin::Join("r1".into()));
+    assert_eq!(kept.begin(&"r3".into(), key("k"), 2, START), Begin::Reused);
+    kept.append("r1", b"part");
+    kept.finish("r1", 9, true, START);
+    assert_eq!(kept.read("r1", 4), Read::End(9));
+    let again = kept.begin(&"r4".into(), key("k"), 1, START);
+    assert_eq!(again, Begin::Join("r1".into()));
+    kept.expire(answers::RETENTION);
+    assert_eq!(kept.begin(&"r5".into(), key("k"), 1, START), Begin::Run);
+}
+
+#[test]
+fn a_failed_answer_does_not_hold_its_key() {
+    let mut kept: Answers<u8> = Answers::new(1 << 20);
+    kept.begin(&"r1".into(), key("k"), 1, START);
+    kept.finish("r1", 9, false, START);
+    assert_eq!(kept.begin(&"r2".into(), key("k"), 1, START), Begin::Run);
+}
+
+#[test]
+fn answers_stay_in_bounded_memory() {
+    let limit = 1 << 20;
+    let mut kept: Answers<u8> = Answers::new(limit);
+    for number in 0..100 {
+        let id: name::Name = format!("r{number}").into();
+        assert_eq!(kept.begin(&id, key(&id), 1, START), Begin::Run);
+        kept.append(&id, &[0; 100_000]);
+        kept.finish(&id, 0, true, START);
+        assert!(kept.bytes() <= limit, "{} bytes", kept.bytes());
+    }
+    assert_eq!(kept.read("r0", 0), Read::Gone);
+    assert!(matches!(kept.read("r99", 0), Read::Data(_)));
+}
+
+#[test]
+fn a_long_answer_keeps_only_what_a_resumed_reader_may_ask_for() {
+    let mut kept: Answers<u8> = Answers::new(1 << 30);
+    kept.begin(&"r1".into(), None, 1, START);
+    kept.attach("r1");
+    let mut offset = 0;
+    while offset < 8 << 20 {
+        assert!(kept.has_room("r1"));
+        kept.append("r1", &[0; 64 << 10]);
+        offset += 64 << 10;
+        assert!(!matches!(kept.read("r1", offset), Read::Gone));
+    }
+    assert!(kept.bytes() as u64 <= 2 * answers::RESUME_BYTES + answers::WINDOW_BYTES);
+    let behind = offset - answers::RESUME_BYTES;
+    assert!(matches!(kept.read("r1", behind), Read::Data(_)));
+    assert_eq!(kept.read("r1", 0), Read::Gone);
+}
+
+#[test]
+fn a_run_for_nobody_is_cancelled_after_its_grace_period() {
+    let mut kept: Answers<u8> = Answers::new(1 << 20);
+    kept.begin(&"plain".into(), None, 1, START);
+    kept.begin(&"keyed".into(), key("k"), 1, START);
+    for id in ["plain", "keyed"] {
+        kept.attach(id);
+    }
+    assert!(kept.abandoned(answers::KEYED_GRACE).is_empty());
+    for id in ["plain", "keyed"] {
+        kept.detach(id, START);
+    }
+    assert!(kept.abandoned(START).is_empty());
+    assert_eq!(kept.abandoned(answers::GRACE), ["plain".into()]);
+    assert_eq!(kept.abandoned(answers::KEYED_GRACE).len(), 2);
+    kept.cancel("keyed");
+    assert_eq!(kept.abandoned(START), ["keyed".into()]);
+}
+
+fn report(fingerprint: u64, count: u32) -> Report {
+    Report {
+        fingerprint,
+        count,
+        age: START,
+    }
+}
+
+#[test]
+fn only_the_request_common_to_two_crashes_is_refused() {
+    let mut known = Crashes::default();
+    for (agent, neighbour) in [(1, 20), (2, 30)] {
+        known.report(agent, report(10, 1), START);
+        known.report(agent, report(neighbour, 1), START);
+    }
+    assert!(matches!(known.verdict(10, START), Verdict::Refuse(_)));
+    assert_eq!(known.verdict(20, START), Verdict::Solo);
+    assert_eq!(known.verdict(30, START), Verdict::Solo);
+    known.clear(20, START);
+    assert_eq!(known.verdict(20, START), Verdict::Run);
+    assert_eq!(known.verdict(10, crashes::REMEMBERED), Verdict::Run);
+}
+
+#[test]
+fn a_crash_that_is_reported_twice_counts_once() {
+    let mut known = Crashes::default();
+    known.crashed(1, 10, START);
+    known.report(1, report(10, 1), START);
+    known.report(1, report(10, 1), START);
+    assert_eq!(known.verdict(10, START), Verdict::Solo);
+    let mut other = Crashes::default();
+    for told in known.export(START, 8) {
+        other.merge(told, START);
+        other.merge(told, START);
+    }
+    assert_eq!(other.verdict(10, START), Verdict::Solo);
+    other.report(2, report(10, 2), START);
+    assert!(matches!(other.verdict(10, START), Verdict::Refuse(_)));
+}
+
+fn claim(id: &str, fingerprint: u64, at: u64) -> Claim {
+    Claim {
+        workspace: "desk".into(),
+        key: "booking".into(),
+        id: id.into(),
+        fingerprint,
+        at,
+        outcome: None,
+    }
+}
+
+#[test]
+fn a_claimed_call_is_never_dispatched_again() {
+    let mut bucket = Bucket::default();
+    let first = Change::Claim(claim("r1", 1, 0));
+    assert_eq!(bucket.apply(&first), Claimed::New);
+    let other = bucket.apply(&Change::Claim(claim("r2", 2, 0)));
+    assert_eq!(other, Claimed::Refused(Code::KeyReused));
+    bucket.apply(&Change::Release(claim("r2", 1, 0)));
+    bucket.apply(&Change::Record(Claim {
+        outcome: Some(0),
+        ..claim("r1", 1, 0)
+    }));
+    let Claimed::Before(found) = bucket.apply(&Change::Claim(claim("r3", 1, 0))) else {
+        panic!("the call was claimed");
+    };
+    assert_eq!((&*found.id, found.outcome), ("r1", Some(0)));
+    bucket.expire(claims::RETENTION.as_secs() + 1);
+    let late = bucket.apply(&Change::Claim(claim("r4", 1, 0)));
+    assert_eq!(late, Claimed::Refused(Code::KeyExpired));
+}
+
+#[test]
+fn a_released_claim_may_be_taken_again() {
+    let mut bucket = Bucket::default();
+    bucket.apply(&Change::Claim(claim("r1", 1, 0)));
+    bucket.apply(&Change::Release(claim("r1", 1, 0)));
+    let again = bucket.apply(&Change::Claim(claim("r2", 1, 0)));
+    assert_eq!(again, Claimed::New);
+}
+
+#[test]
+fn another_attempt_is_made_only_when_it_is_safe() {
+    let failure = |code, ran, over| retry::Failure { code, ran, over };
+    let cases = [
+        (failure(Code::Draining, false, false), true, true),
+        (failure(Code::AgentLost, true, false), false, false),
+        (failure(Code::BackendFailed, true, true), true, false),
+        (failure(Code::BackendFailed, true, false), false, false),
+        (failure(Code::BackendCrashed, true, true), true, false),
+        (failure(Code::CallerGone, true, true), false, false),
+    ];
+    for (failure, idempotent, once) in cases {
+        assert_eq!(retry::is_safe(failure, true), idempotent, "{failure:?}");
+        assert_eq!(retry::is_safe(failure, false), once, "{failure:?}");
+    }
+}
+
+#[test]
+fn retries_cannot_multiply_the_load() {
+    let pool: name::Name = "fortelling".into();
+    let mut budgets = retry::Budgets::default();
+    let mut retries = 0;
+    for _ in 0..1000 {
+        budgets.request(&pool);
+        retries += u32::from(budgets.take(&pool));
+    }
+    assert!((200..=225).contains(&retries), "{retries} retries");
+}
+
+#[test]
+fn a_probe_leads_an_ejected_backend_server_back() {
+    let mut ejection = Ejection::default();
+    let vm: name::Name = "vm".into();
+    for _ in 0..3 {
+        assert!(ejection.admits(&vm, START));
+        ejection.failed(&vm, START);
+    }
+    let later = Duration::from_secs(1);
+    assert!(!ejection.admits(&vm, START));
+    assert!(ejection.admits(&vm, later));
+    ejection.probe(&vm, later);
+    assert!(!ejection.admits(&vm, later));
+    ejection.succeeded(&vm);
+    assert!(ejection.admits(&vm, later));
+}
+
+#[test]
+fn a_solo_attempt_has_no_neighbours() {
+    let mut slots = slots::Slots::new(4, 8);
+    assert_eq!(slots.enter(0, false), slots::Entry::Run);
+    let slots::Entry::Wait(solo) = slots.enter(0, true) else {
+        panic!("another attempt runs");
+    };
+    let slots::Entry::Wait(next) = slots.enter(0, false) else {
+        panic!("a solo attempt waits first");
+    };
+    assert_eq!(slots.leave(), [solo]);
+    assert_eq!(slots.leave(), [next]);
+}
+
+fn wanted(workspace: &str, weight: u32, priority: u8) -> Wanted {
+    Wanted {
+        workspace: workspace.into(),
+        weight,
+        priority,
+        left: Duration::from_secs(600),
+    }
+}
+
+/// Queues requests and returns the workspaces in the order in which they run.
+fn order(queue: &mut FairQueue, arrivals: &[(&'static str, u32, u8)]) -> Vec<&'static str> {
+    let mut names = std::collections::HashMap::new();
+    for (workspace, weight, priority) in arrivals {
+        match queue.enter(&wanted(workspace, *weight, *priority)) {
+            Entry::Wait(ticket) => names.insert(ticket, *workspace),
+            other => panic!("{other:?}"),
+        };
+    }
+    let mut ran = Vec::new();
+    while queue.waiting() > 0 {
+        ran.extend(queue.leave(Duration::from_millis(1)));
+    }
+    ran.iter().map(|ticket| names[ticket]).collect()
+}
+
+#[test]
+fn a_flood_does_not_hold_up_a_workspace_within_its_share() {
+    let mut queue = FairQueue::default();
+    queue.set_capacity(1);
+    assert_eq!(queue.enter(&wanted("flood", 1, 1)), Entry::Run);
+    let mut arrivals = vec![("flood", 1, 1); 100];
+    arrivals.extend([("small", 1, 1); 3]);
+    let ran = order(&mut queue, &arrivals);
+    let last = ran.iter().rposition(|name| *name == "small").unwrap();
+    assert!(last < 8, "the last request of the small one ran at {last}");
+}
+
+#[test]
+fn shares_follow_the_weights() {
+    let mut queue = FairQueue::default();
+    queue.set_capacity(1);
+    queue.enter(&wanted("other", 1, 1));
+    let mut arrivals = vec![("heavy", 4, 1); 100];
+    arrivals.extend([("light", 1, 1); 100]);
+    let ran = order(&mut queue, &arrivals);
+    let heavy = ran[..100].iter().filter(|name| **name == "heavy").count();
+    assert!((78..=82).contains(&heavy), "{heavy} of 100");
+}
+
+#[test]
+fn quick_questions_pass_manuscripts() {
+    let mut queue = FairQueue::default();
+    queue.set_capacity(1);
+    queue.enter(&wanted("a", 1, 2));
+    let arrivals = [("a", 1, 2), ("b", 1, 2), ("quick", 1, 0)];
+    assert_eq!(order(&mut queue, &arrivals)[0], "quick");
+}
+
+#[test]
+fn what_cannot_meet_its_deadline_is_refused_at_once() {
+    let mut queue = FairQueue::default();
+    queue.set_capacity(2);
+    let mut hurried = wanted("a", 1, 0);
+    hurried.left = Duration::from_secs(3);
+    assert_eq!(queue.enter(&hurried), Entry::Run);
+    queue.leave(Duration::from_secs(2));
+    for _ in 0..2 {
+        assert_eq!(queue.enter(&hurried), Entry::Run);
+    }
+    let entries: Vec<_> = (0..4).map(|_| queue.enter(&hurried)).collect();
+    let waits = |entry: &&Entry| matches!(entry, Entry::Wait(_));
+    assert_eq!(entries.iter().filter(waits).count(), 3, "{entries:?}");
+    assert_eq!(entries[3], Entry::Refuse(Duration::from_secs(4)));
+}
