Say that a retried request may have run, and show a stream over a frozen connection

Cause: a request whose first attempt crashed and whose second found no backend server was refused as not run; an agent gave up an attempt before its router could notice a silent connection. Change: a refusal remembers every attempt before it; the grace period is longer than the time in which silence is noticed; a request waits a little while every backend server is down.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -12,7 +12,7 @@
 use crate::{
     coordination::receipt_log,
     error,
-    protocol::{fleet_capnp, run},
+    protocol::run,
     settings,
     state::{member, name},
     transport::{admin, agent_rpc, backend, dialler, fleet, fleet_link, runtime, vms, workers},
@@ -211,11 +211,8 @@
         Arc::new(|_| None),
     )?;
     let handlers = agent.handlers();
-    let offer = move |_: &workers::Local| {
-        let server = agent_rpc::Server::new(handlers.clone());
-        let client: fleet_capnp::agent::Client = capnp_rpc::new_client(server);
-        client.client
-    };
+    let offer =
+        move |_: &workers::Local| agent_rpc::offer(agent_rpc::Server::new(handlers.clone()));
     let listener = fleet_link::adopt(listener)?;
     let accepting = smol::spawn(fleet_link::serve(listener, key, workers, offer));
     agent.start();
--- a/src/coordination/answers.rs
+++ b/src/coordination/answers.rs
@@ -7,8 +7,12 @@
 
 use crate::state::name;
 
-/// Time that a request runs on with nobody reading its answer.
-pub const GRACE: Duration = Duration::from_secs(5);
+/// Time that a request runs on with nobody reading its answer; longer than it takes a router to
+/// notice a silent connection.
+pub const GRACE: Duration = Duration::from_secs(15);
+
+/// Time for which a router asks for the rest of an answer.
+pub const RESUME_LIMIT: Duration = Duration::from_secs(10);
 
 /// The same for a request with an idempotency key, whose caller may come back to any router.
 pub const KEYED_GRACE: Duration = Duration::from_secs(30);
--- a/src/router/exchange.rs
+++ b/src/router/exchange.rs
@@ -35,6 +35,11 @@
 /// Longest wait for a configuration that an agent has seen and this router has not.
 const CONFIG_LIMIT: Duration = Duration::from_secs(2);
 
+/// Longest wait for a backend server when none is available.
+const BACKEND_LIMIT: Duration = Duration::from_secs(3);
+
+const BACKEND_POLL: Duration = Duration::from_millis(100);
+
 const CONFIG_POLL: Duration = Duration::from_millis(50);
 
 /// Counts a request in flight while it lives.
@@ -196,12 +201,14 @@
     let pool = req.route.pools.first().cloned().unwrap_or_default();
     router.retries.lock().unwrap().request(&pool);
     let mut tried = Vec::new();
+    let mut ran = false;
     let mut number = 0;
     loop {
-        let Some(target) = choose(router, req, &tried) else {
+        let Some(target) = find(router, req, &tried, call.deadline).await else {
             router.escrow.release(&req.budget, req.bound);
-            let refusal =
+            let mut refusal =
                 request::Refusal::not_run(Code::NoBackend, "no backend server is available");
+            refusal.may_have_run = ran;
             return Err(refusal.retry_after(BUSY_RETRY));
         };
         tried.push(target.member.name.clone());
@@ -212,13 +219,16 @@
             Begun::Failed(outcome) => outcome,
         };
         number += 1;
+        ran |= outcome.ran;
         let again = may_retry(router, req, &pool, &outcome, number)
             && await_turn(router, &outcome, number, call.deadline).await;
         if !again {
             if !outcome.ran {
                 router.escrow.release(&req.budget, req.bound);
             }
-            return Err(refusal_of(&outcome));
+            let mut refusal = refusal_of(&outcome);
+            refusal.may_have_run |= ran;
+            return Err(refusal);
         }
         let reason = outcome.code.to_string();
         counter!("fulmar_retries", "reason" => reason).increment(1);
@@ -230,6 +240,33 @@
     }
 }
 
+/// Chooses an agent; waits a little for one when all of them are down or have been silent.
+async fn find(
+    router: &Router,
+    req: &request::Request,
+    tried: &[name::Name],
+    deadline: timers::Now,
+) -> Option<Target> {
+    let timers = &router.runtime.timers;
+    let until = deadline.min(timers.now() + BACKEND_LIMIT);
+    loop {
+        if let Some(target) = choose(router, req, tried) {
+            return Some(target);
+        }
+        if timers.now() >= until || !knows_agents(router, req) {
+            return None;
+        }
+        timers.sleep(BACKEND_POLL).await;
+    }
+}
+
+fn knows_agents(router: &Router, req: &request::Request) -> bool {
+    let roster = router.roster.lock().unwrap();
+    roster
+        .all()
+        .any(|agent| req.services.contains(&agent.service) && !agent.load.draining)
+}
+
 fn may_retry(
     router: &Router,
     req: &request::Request,
--- a/src/transport/agent_rpc.rs
+++ b/src/transport/agent_rpc.rs
@@ -43,6 +43,12 @@
     }
 }
 
+/// The capability that a connection offers.
+pub fn offer(server: Server) -> capnp::capability::Client {
+    let client: fleet_capnp::agent::Client = new_client(server);
+    client.client
+}
+
 /// Receives the parts of one answer.
 struct Sink {
     tx: Chunks,
--- /dev/null
+++ b/tests/links.rs
@@ -0,0 +1,184 @@
+//! Connections that go silent without being closed.
+
+mod common;
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicU32, Ordering},
+};
+
+use common::proxy::{Direction, Proxy};
+use fulmarproxy::{
+    agent,
+    protocol::{messages, vm_list},
+    router::{self, ask},
+    settings,
+    transport::{
+        agent_rpc, backend, dialler, fleet, fleet_link, runtime, store, timers, vms, workers,
+    },
+};
+use futures::{StreamExt, stream};
+use serde_json::json;
+
+const KEY_FILE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/Cargo.toml");
+const KEY: &[u8] = b"a key for tests only";
+
+fn settings(role: &str, name: &str, more: &[&str]) -> settings::Settings {
+    let mut args = vec![role, "--name", name, "--region", "r", "--zone", "a"];
+    args.extend(["--vms", "http://127.0.0.1:1", "--fleet-key-file", KEY_FILE]);
+    args.extend(more);
+    let args: Vec<_> = args.into_iter().map(str::to_owned).collect();
+    match settings::parse(&args, &|_| None) {
+        Ok(settings::Command::Run(settings)) => *settings,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn no_vms() -> vms::Vms {
+    vms::Vms {
+        read: Arc::new(|| Box::pin(async { Ok(Vec::<vm_list::Vm>::new()) })),
+    }
+}
+
+/// An engine that sends what the test gives it, and counts its calls.
+struct Engine {
+    runs: Arc<AtomicU32>,
+    parts: async_channel::Sender<Vec<u8>>,
+    backend: backend::Backend,
+}
+
+fn engine() -> Engine {
+    let runs = Arc::new(AtomicU32::new(0));
+    let (parts, rx) = async_channel::unbounded::<Vec<u8>>();
+    let counted = runs.clone();
+    let send = move |_| {
+        counted.fetch_add(1, Ordering::SeqCst);
+        let body = stream::unfold(rx.clone(), |rx| async move {
+            let part = rx.recv().await.ok()?;
+            Some((Ok(part), rx))
+        });
+        let body = body.boxed();
+        let answer = backend::Answer { status: 200, body };
+        let sent: futures::future::BoxFuture<'static, _> = Box::pin(async { Ok(answer) });
+        sent
+    };
+    let send = Arc::new(send);
+    Engine {
+        runs,
+        parts,
+        backend: backend::Backend { send },
+    }
+}
+
+/// Starts an agent whose address is that of a proxy before it.
+fn start_agent(workers: &workers::Workers, engine: &Engine) -> (Arc<agent::Agent>, Proxy) {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let proxy = Proxy::start(&listener.local_addr().unwrap().to_string());
+    let runtime = runtime::Runtime::default();
+    let dialler = dialler::Dialler::new(workers.clone(), KEY.into(), timers::Timers::default());
+    let flags = ["--service", "fortelling", "--backend", "http://127.0.0.1:1"];
+    let agent = agent::Agent::new(agent::Parts {
+        settings: settings("agent", "backend-0", &flags),
+        address: proxy.address().into(),
+        runtime,
+        fleet: fleet::Fleet::over_rpc(&dialler),
+        vms: no_vms(),
+        backend: engine.backend.clone(),
+    });
+    let [for_run, for_resume, for_call] = [agent.clone(), agent.clone(), agent.clone()];
+    let handlers = agent_rpc::Handlers {
+        run: Arc::new(move |req, tx| {
+            let agent = for_run.clone();
+            Box::pin(async move { agent.run(req, tx).await })
+        }),
+        resume: Arc::new(move |resume, tx| {
+            let agent = for_resume.clone();
+            Box::pin(async move { agent.resume(resume, tx).await })
+        }),
+        call: Arc::new(move |call| {
+            let agent = for_call.clone();
+            Box::pin(async move { agent.handle(call).await })
+        }),
+    };
+    let offer = move |_: &workers::Local| {
+        let server = agent_rpc::Server::new(handlers.clone());
+        agent_rpc::offer(server)
+    };
+    let listener = fleet_link::adopt(listener).unwrap();
+    smol::spawn(fleet_link::serve(
+        listener,
+        KEY.into(),
+        workers.clone(),
+        offer,
+    ))
+    .detach();
+    agent.start();
+    (agent, proxy)
+}
+
+async fn start_router(
+    fleet: &common::Fleet,
+    workers: &workers::Workers,
+    agent: &agent::Agent,
+) -> Arc<router::Router> {
+    let runtime = runtime::Runtime::default();
+    let dialler = dialler::Dialler::new(workers.clone(), KEY.into(), timers::Timers::default());
+    let router = router::Router::new(router::Parts {
+        settings: settings("router", "entry-0", &["--store", "http://127.0.0.1:1"]),
+        address: "127.0.0.1:1".into(),
+        runtime,
+        fleet: fleet::Fleet::over_rpc(&dialler),
+        store: store::Store::over_http(&fleet.platform_url("")),
+        vms: no_vms(),
+    });
+    router.start();
+    while router.config().config.version == 0 {
+        smol::Timer::after(std::time::Duration::from_millis(10)).await;
+    }
+    let beat = messages::AgentBeat {
+        member: agent.member.clone(),
+        service: "fortelling".into(),
+        load: agent.load(),
+        versions: messages::Versions::default(),
+        models: Vec::new(),
+        crashes: Vec::new(),
+        prefixes: Vec::new(),
+    };
+    router.handle(messages::RouterCall::Beat(beat)).await;
+    router
+}
+
+#[test]
+fn a_stream_over_a_frozen_connection_goes_on_over_a_new_one() {
+    let fleet = common::Fleet::start("haugland");
+    let workers = workers::Workers::start("links", 2).unwrap();
+    let engine = engine();
+    let (agent, proxy) = start_agent(&workers, &engine);
+    let body = json!({ "model": "quick", "stream": true, "messages": [{ "content": "hi" }] });
+    let ask = ask::Ask {
+        authorization: Some("Bearer fjordforlaget-key".to_owned()),
+        method: "POST".to_owned(),
+        path: "/v1/chat/completions".to_owned(),
+        body: body.to_string().into_bytes(),
+        ..Default::default()
+    };
+    smol::block_on(async {
+        let router = start_router(&fleet, &workers, &agent).await;
+        engine.parts.send(b"data: one\n\n".to_vec()).await.unwrap();
+        let (_, answer) = router.ask(&ask).await.map_err(|err| err.message).unwrap();
+        assert_eq!(answer.chunks.recv().await.unwrap(), b"data: one\n\n");
+        proxy.freeze_open(Direction::Both);
+        engine.parts.send(b"data: two\n\n".to_vec()).await.unwrap();
+        assert_eq!(answer.chunks.recv().await.unwrap(), b"data: two\n\n");
+        let end = b"data: [DONE]\n\n";
+        engine.parts.send(end.to_vec()).await.unwrap();
+        engine.parts.close();
+        assert_eq!(answer.chunks.recv().await.unwrap(), end);
+        assert!(answer.chunks.recv().await.is_err());
+        let outcome = answer.end.recv().await.unwrap();
+        assert_eq!(outcome.code, fulmarproxy::code::Code::Ok);
+        assert_eq!(outcome.length, 36);
+    });
+    assert_eq!(engine.runs.load(Ordering::SeqCst), 1);
+    assert_eq!(proxy.accepted(), 2);
+}
