Lead a prompt prefix to a few backend servers with free slots

Cause: prefix affinity yielded at three quarters of the slots, so it hardly ever applied under load.

--- a/src/coordination/balance.rs
+++ b/src/coordination/balance.rs
@@ -6,7 +6,10 @@
 };
 
 /// Load above which a backend server is passed over for its cached prompt prefix.
-const AFFINITY_LOAD: f64 = 0.75;
+const AFFINITY_LOAD: f64 = 1.0;
+
+/// Backend servers that a prompt prefix leads to.
+const PREFIX_HOMES: usize = 3;
 
 /// Load above which a backend server of the own availability zone is passed over.
 const LOCAL_LOAD: f64 = 1.0;
@@ -41,18 +44,23 @@
         from = candidates.to_vec();
     }
     from.sort_by(|a, b| a.member.name.cmp(&b.member.name));
-    if wanted.prefix != 0 {
-        let home = from
-            .iter()
-            .max_by_key(|agent| rendezvous::weight(&agent.member.name, wanted.prefix));
-        if let Some(home) = home.filter(|home| load(home) < AFFINITY_LOAD) {
-            return Some(home);
-        }
-    }
     let near =
         |agent: &&roster::Agent| &*agent.member.zone == wanted.zone && load(agent) < LOCAL_LOAD;
     let local: Vec<_> = from.iter().copied().filter(near).collect();
-    less_loaded(if local.is_empty() { &from } else { &local }, rng)
+    let from = if local.is_empty() { &from } else { &local };
+    match wanted.prefix {
+        0 => less_loaded(from, rng),
+        prefix => home(from, prefix).or_else(|| less_loaded(from, rng)),
+    }
+}
+
+/// The first backend server with a free slot among the few that a prefix leads to.
+fn home<'a>(from: &[&'a roster::Agent], prefix: u64) -> Option<&'a roster::Agent> {
+    let weight = |agent: &&roster::Agent| rendezvous::weight(&agent.member.name, prefix);
+    let mut homes: Vec<_> = from.iter().map(|agent| (weight(agent), *agent)).collect();
+    homes.sort_by_key(|(weight, _)| std::cmp::Reverse(*weight));
+    let mut few = homes.into_iter().take(PREFIX_HOMES).map(|(_, agent)| agent);
+    few.find(|agent| load(agent) < AFFINITY_LOAD)
 }
 
 /// Picks the less loaded of two random candidates.
--- a/src/router.rs
+++ b/src/router.rs
@@ -33,11 +33,11 @@
 mod members;
 mod orders;
 mod pull;
+mod queue;
 mod record;
 mod recovery;
 mod refill;
 mod registry;
-mod queue;
 pub mod request;
 mod resolve;
 
