Bound the fleet's record writes, and send fences only to agents that lack them

Change: the period grows with the known fleet, to at most 100 records a second; a heartbeat is answered with the list only when the agent has an older one.

--- a/src/router/billing.rs
+++ b/src/router/billing.rs
@@ -14,12 +14,15 @@
 use crate::{
     code::Code,
     coordination::{demand, refill as steps},
-    router::{Router, draw, record, refill},
+    router::{Router, draw, gossip, record, refill},
     state::{holder_record, ledger, member, name},
 };
 
 const TICK: Duration = Duration::from_secs(1);
 
+/// Records that the whole fleet writes in a second, at most.
+const RECORDS_PER_SECOND: u32 = 100;
+
 /// Longest time that a request waits for reservations about to settle.
 const WAIT_LIMIT: Duration = Duration::from_secs(2);
 
@@ -94,17 +97,24 @@
 pub fn start(router: Arc<Router>) {
     let runtime = router.runtime.clone();
     runtime.spawn(async move {
-        let ticks = router.runtime.every(TICK);
-        while ticks.recv().await.is_ok() {
+        let mut rng = router.runtime.rng();
+        while !router.billing.is_fenced() {
+            let spread = 0.9 + 0.2 * rng.f64();
+            let pause = upkeep_period(gossip::fleet_size(&router)).mul_f64(spread);
+            router.runtime.timers.sleep(pause).await;
             record::flush(&router).await;
-            if router.billing.is_fenced() {
-                return;
+            if !router.billing.is_fenced() {
+                upkeep(&router).await;
             }
-            upkeep(&router).await;
         }
     });
 }
 
+/// Time between two writes of a record, so that a fleet of any size makes a bounded number.
+fn upkeep_period(routers: usize) -> Duration {
+    TICK.max(Duration::from_secs(routers as u64) / RECORDS_PER_SECOND)
+}
+
 /// Grants ahead of the demand and returns what is idle, with one write per bucket.
 async fn upkeep(router: &Router) {
     let now = router.runtime.timers.now();
--- a/src/router/calls.rs
+++ b/src/router/calls.rs
@@ -22,6 +22,7 @@
 
     fn take_beat(&self, beat: messages::AgentBeat) -> messages::RouterReply {
         let now = self.runtime.timers.now();
+        let known = beat.versions.fences;
         gossip::take_beat(self, &beat, now);
         for crash in &beat.crashes {
             let mut crashes = self.crashes.lock().unwrap();
@@ -38,7 +39,10 @@
                 config,
                 fences: fences.revision,
             },
-            fenced: fences.holders.iter().copied().collect(),
+            fenced: match known < fences.revision {
+                true => fences.holders.iter().copied().collect(),
+                false => Vec::new(),
+            },
         }
     }
 }
--- a/src/router/gossip.rs
+++ b/src/router/gossip.rs
@@ -126,6 +126,12 @@
     heard_within(router, LIVE_LIMIT)
 }
 
+/// Routers of the fleet, this one among them, as far as is known.
+pub fn fleet_size(router: &Router) -> usize {
+    let listed = router.gossip.listed.lock().unwrap().len();
+    listed.max(live(router).len()) + 1
+}
+
 /// Whether this router watches the store itself.
 pub fn watches(router: &Router) -> bool {
     membership::watches(&place(&router.member), &live(router))
