Try arbitrary and malformed input against every reader

Cause: nothing showed that a malformed body, path, key, answer or member's message is refused without a panic, or that smuggled framing, oversized heads and cut-off bodies never run. Change: seeded mutants of valid samples in tests/fuzz.rs, raw requests in tests/answers.rs.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -26,7 +26,7 @@
 mod crashes;
 mod fences;
 mod orders;
-mod usage;
+pub mod usage;
 
 const IDLE_POLL: Duration = Duration::from_millis(50);
 const SWEEP_PERIOD: Duration = Duration::from_millis(500);
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::io::Write;
+use std::io::{Read, Write};
 
 use serde_json::{Value, json};
 
@@ -293,9 +293,67 @@
     assert_eq!(repeat.error()["run"], "may have run");
     assert_eq!(effects(&fleet, &service), 2);
 
+    let no_engine = call(&fleet, 0, CHAT, None, &question("x", 500, false));
+    assert_eq!(no_engine.error()["code"], 301, "{}", no_engine.body);
     fleet.platform.child.kill().unwrap();
     let refused = call(&fleet, 0, "/portal/orders", Some("late"), &order);
     assert_eq!(refused.error()["code"], 307, "{}", refused.body);
     assert_eq!(refused.error()["run"], "not run");
     assert_eq!(effects(&fleet, &service), 2);
 }
+
+/// Sends raw bytes and returns the status line of the answer.
+fn raw(address: &str, bytes: &[u8]) -> String {
+    let mut stream = std::net::TcpStream::connect(address).unwrap();
+    let _ = stream.write_all(bytes);
+    let _ = stream.shutdown(std::net::Shutdown::Write);
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer);
+    let text = String::from_utf8_lossy(&answer);
+    text.lines().next().unwrap_or_default().to_owned()
+}
+
+#[test]
+fn bad_input_is_refused_and_never_runs() {
+    let fleet = fleet(1, 1, 100);
+    let address = &fleet.routers[0].address;
+    let head = format!("POST {CHAT} HTTP/1.1\r\nhost: r\r\nauthorization: Bearer {DESK_KEY}\r\n");
+    let good = question("x", 1, false).to_string();
+    let smuggled = format!(
+        "{head}content-length: {}\r\ntransfer-encoding: chunked\r\n\r\n{good}",
+        good.len()
+    );
+    let twice = format!(
+        "{head}content-length: 1\r\ncontent-length: {}\r\n\r\n{good}",
+        good.len()
+    );
+    let large_head = format!(
+        "{head}x-large: {}\r\ncontent-length: 0\r\n\r\n",
+        "x".repeat(100_000)
+    );
+    let cut_short = format!("{head}content-length: {}\r\n\r\n{good}", good.len() + 5);
+    for bytes in [
+        smuggled,
+        twice,
+        large_head,
+        cut_short,
+        "\0\u{1}\r\n\r\n".to_owned(),
+    ] {
+        let status = raw(address, bytes.as_bytes());
+        assert!(!status.contains(" 200"), "{status} to {:.200}", bytes);
+    }
+    let large = json!({ "model": "quick", "messages": [{ "content": "x".repeat(9 << 20) }] });
+    let refused = call(&fleet, 0, CHAT, None, &large);
+    assert!(
+        refused.status == 413 || refused.status == 0,
+        "{}",
+        refused.status
+    );
+    let no_model = call(&fleet, 0, CHAT, None, &json!({ "model": "unknown" }));
+    assert_eq!(no_model.error()["code"], 102, "{}", no_model.body);
+    let no_object = call(&fleet, 0, CHAT, None, &json!([1, 2]));
+    assert_eq!(no_object.error()["code"], 100, "{}", no_object.body);
+    assert!(runs(&fleet).is_empty());
+    let answered = call(&fleet, 0, CHAT, None, &question("still there", 5, false));
+    assert_eq!(answered.status, 200, "{}", answered.body);
+}
--- /dev/null
+++ b/tests/fuzz.rs
@@ -0,0 +1,142 @@
+//! Arbitrary bytes into every reader: no panic, and bounded answers.
+
+use std::time::Duration;
+
+use fulmarproxy::{
+    agent::usage,
+    code::Code,
+    coordination::publish,
+    ctl,
+    protocol::{fleet_capnp, run, wire},
+    router::{ask, follow, request},
+    state::config,
+};
+
+const SEED: u64 = 7;
+const CASES: usize = 4000;
+
+/// Seeded bytes: a sample with random changes, so that they get past the first check.
+fn mutants(sample: &[u8]) -> impl Iterator<Item = Vec<u8>> {
+    let mut rng = fastrand::Rng::with_seed(SEED);
+    let sample = sample.to_vec();
+    (0..CASES).map(move |_| {
+        let mut bytes = sample.clone();
+        for _ in 0..rng.usize(1..8) {
+            let at = rng.usize(..bytes.len().max(1));
+            match rng.u8(..4) {
+                0 if at < bytes.len() => bytes[at] = rng.u8(..),
+                1 => bytes.truncate(at),
+                2 => bytes.insert(at.min(bytes.len()), rng.u8(..)),
+                _ => bytes.extend((0..rng.usize(..32)).map(|_| rng.u8(..))),
+            }
+        }
+        bytes
+    })
+}
+
+fn in_force() -> follow::InForce {
+    let dir = format!("{}/examples/cooperative", env!("CARGO_MANIFEST_DIR"));
+    let set = ctl::read_dir(dir.as_ref()).unwrap();
+    let mut in_force = follow::InForce::default();
+    in_force.config = config::Config {
+        version: 1,
+        set: set.into(),
+    };
+    in_force
+}
+
+fn check(in_force: &follow::InForce, ask: &ask::Ask) {
+    match request::read(in_force, &"clifton".into(), ask, 1) {
+        Ok(req) => {
+            assert!(req.bound >= 1);
+            assert!(req.deadline <= Duration::from_secs(900));
+            assert!(req.key.len() <= request::KEY_BYTES);
+        }
+        Err(refusal) => {
+            assert!(!refusal.may_have_run);
+            assert!(refusal.code < Code::BudgetSpent, "{refusal:?}");
+        }
+    }
+}
+
+#[test]
+fn any_body_is_read_or_refused() {
+    let in_force = in_force();
+    let sample =
+        br#"{"model":"counter","messages":[{"role":"user","content":"casings"}],"max_tokens":5}"#;
+    for body in mutants(sample) {
+        let ask = ask::Ask {
+            method: "POST".to_owned(),
+            path: request::CHAT_PATH.to_owned(),
+            body,
+            ..Default::default()
+        };
+        check(&in_force, &ask);
+    }
+}
+
+#[test]
+fn any_path_is_read_or_refused() {
+    let in_force = in_force();
+    for path in mutants(b"/members/claims?id=7") {
+        let path = String::from_utf8_lossy(&path).into_owned();
+        let ask = ask::Ask {
+            method: "POST".to_owned(),
+            key: Some(path.clone()),
+            path,
+            ..Default::default()
+        };
+        check(&in_force, &ask);
+    }
+}
+
+#[test]
+fn any_key_is_refused() {
+    let in_force = in_force();
+    for header in mutants(b"Bearer clifton-kex") {
+        let header = String::from_utf8_lossy(&header);
+        let found = request::workspace_of(&in_force, Some(&header));
+        assert_eq!(found.unwrap_err().code, Code::BadKey);
+    }
+    assert_eq!(publish::digest(b"").len(), 64);
+}
+
+#[test]
+fn any_answer_passes_the_usage_meter() {
+    let sample =
+        b"data: {\"usage\":{\"prompt_tokens\":3,\"completion_tokens\":4}}\n\ndata: [DONE]\n\n";
+    for (number, bytes) in mutants(sample).enumerate() {
+        let mut meter = usage::Meter::default();
+        for part in bytes.chunks(1 + number % 17) {
+            meter.read(part);
+        }
+        meter.finish();
+    }
+}
+
+#[test]
+fn any_message_of_a_member_is_read_or_refused() {
+    let mut message = capnp::message::Builder::new_default();
+    let mut beat = message.init_root::<fleet_capnp::agent_beat::Builder<'_>>();
+    beat.set_service("fortelling");
+    beat.reborrow().init_member().set_name("backend-0");
+    beat.init_models(2).set(0, "scene-brief");
+    let sample = capnp::serialize::write_message_to_words(&message);
+    for bytes in mutants(&sample) {
+        let options = capnp::message::ReaderOptions::new();
+        let read = capnp::serialize::read_message(&bytes[..], options);
+        let Ok(message) = read else { continue };
+        if let Ok(beat) = message.get_root() {
+            let _ = wire::read_beat(beat);
+        }
+        if let Ok(req) = message.get_root() {
+            let _ = run::read_request(req);
+        }
+        if let Ok(outcome) = message.get_root() {
+            let _ = run::read_outcome(outcome);
+        }
+        if let Ok(gossip) = message.get_root() {
+            let _ = wire::read_gossip(gossip);
+        }
+    }
+}
