Let repeats join their answer at a backend server that leaves

Cause: a leaving agent refused a repeat whose answer was running there, and routers passed it over. Change: only new work is refused; a keyed request is offered to its home agent also when that one leaves; a keyed request waits for its home agent when that one is full, and is not run elsewhere.

--- a/src/agent/admission.rs
+++ b/src/agent/admission.rs
@@ -114,19 +114,23 @@
     full
 }
 
-/// Checks that the agent takes an attempt of this router now.
-pub fn check(agent: &Agent, req: &run::RunRequest) -> Result<(), run::RunOutcome> {
-    let refuse = |code, message: &str| Err(run::RunOutcome::not_run(code, message));
+/// Checks that this incarnation of the agent is meant, and notes the router's configuration.
+pub fn identify(agent: &Agent, req: &run::RunRequest) -> Result<(), run::RunOutcome> {
     if req.agent != agent.member.incarnation {
-        return refuse(Code::WrongAgent, "the agent has restarted");
+        let message = "the agent has restarted";
+        return Err(run::RunOutcome::not_run(Code::WrongAgent, message));
     }
-    let newest = agent
-        .config
-        .fetch_max(req.config, Ordering::Relaxed)
-        .max(req.config);
+    agent.config.fetch_max(req.config, Ordering::Relaxed);
+    Ok(())
+}
+
+/// Checks that the agent takes new work of this router now.
+pub fn check(agent: &Agent, req: &run::RunRequest) -> Result<(), run::RunOutcome> {
     if agent.is_draining() {
-        return refuse(Code::Draining, "the backend server is leaving");
+        let message = "the backend server is leaving";
+        return Err(run::RunOutcome::not_run(Code::Draining, message));
     }
+    let newest = agent.config.load(Ordering::Relaxed);
     if req.config < newest {
         let mut stale = run::RunOutcome::not_run(Code::StaleConfig, "older configuration");
         stale.config = newest;
--- a/src/agent/answers.rs
+++ b/src/agent/answers.rs
@@ -42,16 +42,18 @@
         change(&mut self.kept.lock().unwrap())
     }
 
+    /// Whether an answer is kept under the request's idempotency key.
+    pub fn knows(&self, req: &run::RunRequest) -> bool {
+        key_of(req).is_some_and(|key| self.with(|kept| kept.knows(&key)))
+    }
+
     /// Begins an answer; the receiver gets a message when the request is to be cancelled.
     pub fn begin(
         &self,
         req: &run::RunRequest,
         now: std::time::Duration,
     ) -> Result<async_channel::Receiver<()>, Begin> {
-        let key = (!req.key.is_empty()).then(|| answers::Key {
-            workspace: req.workspace.clone(),
-            key: req.key.clone(),
-        });
+        let key = key_of(req);
         let mut kept = self.kept.lock().unwrap();
         match kept.begin(&req.id, key, req.fingerprint, now) {
             Begin::Run => {
@@ -110,6 +112,13 @@
     }
 }
 
+fn key_of(req: &run::RunRequest) -> Option<answers::Key> {
+    (!req.key.is_empty()).then(|| answers::Key {
+        workspace: req.workspace.clone(),
+        key: req.key.clone(),
+    })
+}
+
 /// Counts a reader of an answer while it lives.
 struct Reader<'a> {
     agent: &'a Agent,
--- a/src/agent/attempt.rs
+++ b/src/agent/attempt.rs
@@ -53,7 +53,12 @@
     req: run::RunRequest,
     tx: &async_channel::Sender<Vec<u8>>,
 ) -> run::RunOutcome {
-    if let Err(refused) = admission::check(agent, &req) {
+    if let Err(refused) = admission::identify(agent, &req) {
+        return refused;
+    }
+    if !agent.answers.knows(&req)
+        && let Err(refused) = admission::check(agent, &req)
+    {
         return refused;
     }
     match agent.answers.begin(&req, agent.runtime.timers.now()) {
--- a/src/coordination/answers.rs
+++ b/src/coordination/answers.rs
@@ -183,6 +183,11 @@
         Begin::Run
     }
 
+    /// Whether an answer is kept under a key.
+    pub fn knows(&self, key: &Key) -> bool {
+        self.by_key.contains_key(key)
+    }
+
     /// Adds bytes to a running answer.
     pub fn append(&mut self, id: &str, data: &[u8]) {
         let Some(kept) = self.kept.get_mut(id) else {
--- a/src/router/ask.rs
+++ b/src/router/ask.rs
@@ -40,7 +40,11 @@
         let workspace = request::workspace_of(&in_force, ask.authorization.as_deref())?;
         let mut rng = self.runtime.rng();
         let req = request::read(&in_force, &workspace, ask, rng.u128(..))?;
-        let answer = exchange::start(self, &req).await?;
+        let started = exchange::start(self, &req).await;
+        let answer = started.map_err(|mut refusal| {
+            refusal.key = req.must_claim().then(|| req.key.clone());
+            refusal
+        })?;
         Ok((req, answer))
     }
 }
--- a/src/router/exchange.rs
+++ b/src/router/exchange.rs
@@ -206,7 +206,7 @@
             refusal.may_have_run = ran;
             return Err(refusal.retry_after(BUSY_RETRY));
         };
-        tried.push(target.member.name.clone());
+        let vm = target.member.name.clone();
         let left = call.deadline.saturating_sub(timers.now());
         let message = compose(router, req, &target, number, left, solo);
         let outcome = match begin(router, req, call, target, message).await {
@@ -215,6 +215,9 @@
         };
         number += 1;
         ran |= outcome.ran;
+        if req.key.is_empty() || outcome.code != Code::Overloaded {
+            tried.push(vm);
+        }
         let again = may_retry(router, req, &pool, &outcome, number)
             && await_turn(router, &outcome, number, call.deadline).await;
         if !again {
@@ -316,6 +319,7 @@
         message: outcome.message.clone(),
         may_have_run: outcome.ran || outcome.code >= Code::BackendFailed,
         retry_after: helps.then(|| outcome.retry_after.max(BUSY_RETRY)),
+        key: None,
     }
 }
 
@@ -340,7 +344,8 @@
     };
     let agent = match req.key.is_empty() {
         true => balance::choose(&candidates, wanted, &mut router.runtime.rng())?,
-        false => home(&candidates, req, tried)?,
+        false if req.must_claim() => home(&candidates, req, tried)?,
+        false => home(&with_leaving(&roster, candidates, req, now), req, tried)?,
     };
     let target = Target {
         member: agent.member.clone(),
@@ -351,6 +356,21 @@
     Some(target)
 }
 
+/// Adds the agents that are leaving: the answer of an earlier request may run or be kept there.
+fn with_leaving<'a>(
+    roster: &'a roster::Roster,
+    mut agents: Vec<&'a roster::Agent>,
+    req: &request::Request,
+    now: timers::Now,
+) -> Vec<&'a roster::Agent> {
+    let leaving = roster.all().filter(|agent| {
+        let fresh = now.saturating_sub(agent.seen) < roster::SUSPECT_AFTER;
+        fresh && agent.load.draining && req.services.contains(&agent.service)
+    });
+    agents.extend(leaving);
+    agents
+}
+
 /// The agent where repeats of an idempotency key meet.
 fn home<'a>(
     candidates: &[&'a roster::Agent],
@@ -565,7 +585,7 @@
         let now = router.runtime.timers.now();
         let roster = router.roster.lock().unwrap();
         let known: Vec<_> = roster.available(&req.services, now).collect();
-        home(&known, req, &[]).map(|agent| agent.member.clone())
+        home(&with_leaving(&roster, known, req, now), req, &[]).map(|agent| agent.member.clone())
     };
     if let Some(agent) = agent {
         let resume = messages::Resume {
--- a/src/router/front.rs
+++ b/src/router/front.rs
@@ -175,6 +175,9 @@
     let body = error_body(code, &refusal.message, refusal.may_have_run);
     let mut conn = conn.with_status(status).with_body(body.to_string());
     conn.insert_response_header(KnownHeaderName::ContentType, "application/json");
+    if let Some(key) = &refusal.key {
+        conn.insert_response_header("idempotency-key", key.to_string());
+    }
     if let Some(delay) = refusal.retry_after {
         conn.insert_response_header(
             KnownHeaderName::RetryAfter,
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -68,6 +68,8 @@
     pub may_have_run: bool,
     /// When to come back, if it helps.
     pub retry_after: Option<Duration>,
+    /// Idempotency key of the call, when one was given to it.
+    pub key: Option<name::Name>,
 }
 
 impl Refusal {
@@ -78,6 +80,7 @@
             message: message.into(),
             may_have_run: false,
             retry_after: None,
+            key: None,
         }
     }
 
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -357,3 +357,18 @@
     let answered = call(&fleet, 0, CHAT, None, &question("still there", 5, false));
     assert_eq!(answered.status, 200, "{}", answered.body);
 }
+
+#[test]
+fn a_backend_server_that_leaves_ends_its_answers_and_takes_no_new_work() {
+    let fleet = fleet(2, 1, 5000);
+    let body = question("draft a scene", 200, true);
+    let first = chat_later(&fleet, 0, Some("k3"), &body);
+    common::wait_for("the run", || runs(&fleet) == [1]);
+    fleet.agents[0].signal("-TERM");
+    let refused = call(&fleet, 1, CHAT, Some("k4"), &body);
+    assert_eq!(refused.error()["run"], "not run", "{}", refused.body);
+    let again = call(&fleet, 1, CHAT, Some("k3"), &body);
+    assert!(again.body.ends_with("data: [DONE]\n\n"), "{}", again.body);
+    assert_eq!(smol::block_on(first).body, again.body);
+    assert_eq!(runs(&fleet), [1]);
+}
