--- a/src/agent/answers.rs
+++ b/src/agent/answers.rs
@@ -94,6 +94,16 @@
         }
     }
 
+    /// Cancels a request if it runs for nobody.
+    fn cancel_abandoned(&self, id: &str, now: std::time::Duration) {
+        if !self.with(|kept| kept.is_abandoned(id, now)) {
+            return;
+        }
+        if let Some(signals) = self.signals.lock().unwrap().get(id) {
+            let _ = signals.cancel.try_send(());
+        }
+    }
+
     fn subscribe(&self, id: &str) -> async_channel::Receiver<()> {
         let (tx, rx) = async_channel::bounded(1);
         if let Some(signals) = self.signals.lock().unwrap().get_mut(id) {
@@ -138,7 +148,7 @@
         let answers = &self.agent.answers;
         answers.with(|kept| kept.detach(self.id, now));
         answers.signal(self.id);
-        answers.sweep(now);
+        answers.cancel_abandoned(self.id, now);
     }
 }
 
--- a/src/coordination/answers.rs
+++ b/src/coordination/answers.rs
@@ -75,6 +75,7 @@
     unread_since: Duration,
     cancelled: bool,
     end: Option<E>,
+    ended_at: Duration,
 }
 
 impl<E> Kept<E> {
@@ -115,7 +116,9 @@
     bytes: usize,
     kept: BTreeMap<name::Name, Kept<E>>,
     by_key: BTreeMap<Key, name::Name>,
-    ended: BTreeSet<(Duration, name::Name)>,
+    running: BTreeSet<name::Name>,
+    /// Finished answers by the time of their end: without a key, and with one.
+    ended: [BTreeSet<(Duration, name::Name)>; 2],
 }
 
 impl<E: Clone> Answers<E> {
@@ -138,7 +141,8 @@
             bytes: 0,
             kept: BTreeMap::new(),
             by_key: BTreeMap::new(),
-            ended: BTreeSet::new(),
+            running: BTreeSet::new(),
+            ended: Default::default(),
         }
     }
 
@@ -178,8 +182,10 @@
             unread_since: now,
             cancelled: false,
             end: None,
+            ended_at: Duration::ZERO,
         };
         self.kept.insert(id.clone(), kept);
+        self.running.insert(id.clone());
         Begin::Run
     }
 
@@ -217,8 +223,10 @@
         if let Some(kept) = self.kept.get_mut(&id) {
             kept.end = Some(end);
             kept.key = kept.key.take().filter(|_| repeat);
+            kept.ended_at = now;
+            self.ended[usize::from(kept.key.is_some())].insert((now, id.clone()));
         }
-        self.ended.insert((now, id));
+        self.running.remove(&id);
         self.evict();
     }
 
@@ -260,10 +268,16 @@
         }
     }
 
+    /// Whether a request runs for nobody and is to be cancelled.
+    pub fn is_abandoned(&self, id: &str, now: Duration) -> bool {
+        let kept = self.kept.get(id);
+        kept.is_some_and(|kept| kept.is_abandoned(now))
+    }
+
     /// Requests that run for nobody and are to be cancelled.
     pub fn abandoned(&self, now: Duration) -> Vec<name::Name> {
-        let found = self.kept.iter().filter(|(_, kept)| kept.is_abandoned(now));
-        found.map(|(id, _)| id.clone()).collect()
+        let abandoned = |id: &&name::Name| self.is_abandoned(id, now);
+        self.running.iter().filter(abandoned).cloned().collect()
     }
 
     /// Whether a request runs.
@@ -284,18 +298,14 @@
 
     /// Drops finished answers that are past their time.
     pub fn expire(&mut self, now: Duration) {
-        let past: Vec<_> = self
-            .ended
-            .iter()
-            .filter(|(at, id)| {
-                let keyed = self.kept.get(id).is_some_and(|kept| kept.key.is_some());
-                let limit = if keyed { RETENTION } else { GRACE };
-                now.saturating_sub(*at) >= limit && self.is_unread(id)
-            })
-            .map(|(_, id)| id.clone())
-            .collect();
-        for id in past {
-            self.remove(&id);
+        for (ended, limit) in [(0, GRACE), (1, RETENTION)] {
+            let past = |(at, _): &&(Duration, name::Name)| now.saturating_sub(*at) >= limit;
+            let past = self.ended[ended].iter().take_while(past);
+            let unread = past.filter(|(_, id)| self.is_unread(id));
+            let ids: Vec<_> = unread.map(|(_, id)| id.clone()).collect();
+            for id in ids {
+                self.remove(&id);
+            }
         }
     }
 
@@ -306,7 +316,8 @@
     /// Drops the oldest finished answers while the memory is full.
     fn evict(&mut self) {
         while self.bytes > self.limit {
-            let oldest = self.ended.iter().find(|(_, id)| self.is_unread(id));
+            let mut oldest = self.ended.iter().flatten();
+            let oldest = oldest.find(|(_, id)| self.is_unread(id));
             let Some((_, id)) = oldest.cloned() else {
                 return;
             };
@@ -315,11 +326,12 @@
     }
 
     fn remove(&mut self, id: &str) {
-        let Some(kept) = self.kept.remove(id) else {
+        let Some((id, kept)) = self.kept.remove_entry(id) else {
             return;
         };
         self.bytes -= kept.data.len();
-        self.ended.retain(|(_, ended)| &**ended != id);
+        self.running.remove(&id);
+        self.ended[usize::from(kept.key.is_some())].remove(&(kept.ended_at, id));
         if let Some(key) = kept.key {
             self.by_key.remove(&key);
         }
