Order each engine once, spread large sets over more chunks, and report once a second

Cause: an order was repeated while the heartbeat that shows its effect was under way (a test saw it); half the bytes between members were heartbeats; a chunk of 44,000 budgets held 2,750 objects. Change: an engine that did an order is left alone for 5 s; heartbeats are a second apart; a set has 16 to 1,024 chunks for each kind; chunks are written eight at a time.

--- a/src/agent/beats.rs
+++ b/src/agent/beats.rs
@@ -16,7 +16,7 @@
     transport::timers,
 };
 
-const BEAT_PERIOD: Duration = Duration::from_millis(500);
+const BEAT_PERIOD: Duration = Duration::from_secs(1);
 const BEAT_LIMIT: Duration = Duration::from_secs(2);
 
 /// Period of reading the list while all routers answer.
--- a/src/coordination/publish.rs
+++ b/src/coordination/publish.rs
@@ -9,8 +9,14 @@
     state::{config, name, object_set},
 };
 
-/// Chunks that each kind of object is spread over.
-pub const CHUNKS_PER_KIND: u64 = 16;
+/// Fewest chunks that each kind of object is spread over.
+pub const LEAST_CHUNKS: u64 = 16;
+
+/// Most chunks that each kind of object is spread over.
+pub const MOST_CHUNKS: u64 = 1024;
+
+/// Objects of a chunk above which a set gets more chunks.
+pub const OBJECTS_PER_CHUNK: u64 = 64;
 
 /// Content of the chunks of a set, by digest.
 #[derive(Clone, Debug, Default)]
@@ -33,8 +39,20 @@
         .collect()
 }
 
-fn chunk_name(kind: &str, object: &str) -> name::Name {
-    let number = xxhash_rust::xxh3::xxh3_64(object.as_bytes()) % CHUNKS_PER_KIND;
+/// Number of chunks for a number of objects: a power of two, so that it seldom changes.
+///
+/// ```
+/// use fulmarproxy::coordination::publish;
+/// assert_eq!(publish::chunks_for(10), 16);
+/// assert_eq!(publish::chunks_for(44_000), 1024);
+/// ```
+pub fn chunks_for(objects: usize) -> u64 {
+    let wanted = (objects as u64).div_ceil(OBJECTS_PER_CHUNK);
+    wanted.next_power_of_two().clamp(LEAST_CHUNKS, MOST_CHUNKS)
+}
+
+fn chunk_name(kind: &str, object: &str, chunks: u64) -> name::Name {
+    let number = xxhash_rust::xxh3::xxh3_64(object.as_bytes()) % chunks;
     format!("{kind}-{number}").into()
 }
 
@@ -51,20 +69,26 @@
 /// [`error::Error::StoreValue`] when an object cannot be written as JSON.
 pub fn divide(set: &object_set::ObjectSet) -> Result<Chunks, error::Error> {
     let mut parts: BTreeMap<name::Name, object_set::ObjectSet> = BTreeMap::new();
+    let chunks = chunks_for(set.workspaces.len());
     for (name, object) in &set.workspaces {
-        let part = parts.entry(chunk_name("workspace", name)).or_default();
+        let part = parts
+            .entry(chunk_name("workspace", name, chunks))
+            .or_default();
         part.workspaces.insert(name.clone(), object.clone());
     }
+    let chunks = chunks_for(set.budgets.len());
     for (name, object) in &set.budgets {
-        let part = parts.entry(chunk_name("budget", name)).or_default();
+        let part = parts.entry(chunk_name("budget", name, chunks)).or_default();
         part.budgets.insert(name.clone(), object.clone());
     }
+    let chunks = chunks_for(set.routes.len());
     for (name, object) in &set.routes {
-        let part = parts.entry(chunk_name("route", name)).or_default();
+        let part = parts.entry(chunk_name("route", name, chunks)).or_default();
         part.routes.insert(name.clone(), object.clone());
     }
+    let chunks = chunks_for(set.pools.len());
     for (name, object) in &set.pools {
-        let part = parts.entry(chunk_name("pool", name)).or_default();
+        let part = parts.entry(chunk_name("pool", name, chunks)).or_default();
         part.pools.insert(name.clone(), object.clone());
     }
     let mut chunks = Chunks::default();
--- a/src/ctl/publication.rs
+++ b/src/ctl/publication.rs
@@ -2,6 +2,8 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
+use futures::StreamExt;
+
 use crate::{
     coordination::publish,
     ctl::cut,
@@ -17,6 +19,9 @@
 /// Pause between them.
 const RESOLVE_PAUSE: Duration = Duration::from_millis(250);
 
+/// Chunks that are written at once.
+const WRITES_AT_ONCE: usize = 8;
+
 /// Publications after which chunks that no head names are collected.
 const COLLECT_PERIOD: u64 = 8;
 
@@ -123,27 +128,37 @@
     contents: &std::collections::BTreeMap<String, object_set::ObjectSet>,
 ) -> Result<(), error::Error> {
     let current: BTreeSet<&String> = head.chunks.values().collect();
-    for (digest, content) in contents {
-        if current.contains(digest) {
-            continue;
-        }
-        let mut failures = 0;
-        let mut expected = 0;
-        loop {
-            match store.put_if(&key_of(digest), content, expected, 0).await {
-                Ok(store::Put::Written(_)) => break,
-                Ok(store::Put::Conflict(found)) => {
-                    expected = found.map_or(0, |kv| kv.mod_revision.0);
-                }
-                Err(err) if failures == RESOLVE_ATTEMPTS => return Err(err),
-                Err(_) => {
-                    failures += 1;
-                    smol::Timer::after(RESOLVE_PAUSE).await;
-                }
+    let new = contents
+        .iter()
+        .filter(|(digest, _)| !current.contains(digest));
+    let writes = new.map(|(digest, content)| write_chunk(store, digest, content));
+    let mut written = futures::stream::iter(writes).buffer_unordered(WRITES_AT_ONCE);
+    while let Some(written) = written.next().await {
+        written?;
+    }
+    Ok(())
+}
+
+async fn write_chunk(
+    store: &store::Store,
+    digest: &str,
+    content: &object_set::ObjectSet,
+) -> Result<(), error::Error> {
+    let mut failures = 0;
+    let mut expected = 0;
+    loop {
+        match store.put_if(&key_of(digest), content, expected, 0).await {
+            Ok(store::Put::Written(_)) => return Ok(()),
+            Ok(store::Put::Conflict(found)) => {
+                expected = found.map_or(0, |kv| kv.mod_revision.0);
+            }
+            Err(err) if failures == RESOLVE_ATTEMPTS => return Err(err),
+            Err(_) => {
+                failures += 1;
+                smol::Timer::after(RESOLVE_PAUSE).await;
             }
         }
     }
-    Ok(())
 }
 
 /// Writes the head. When the answer is lost, the same write is repeated: it can take effect once,
--- a/src/router/orders.rs
+++ b/src/router/orders.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    sync::{Arc, Mutex},
+    sync::Arc,
     time::Duration,
 };
 
@@ -27,13 +27,16 @@
 /// Time for which an engine that failed an order gets none.
 const PASS_OVER: Duration = Duration::from_secs(30);
 
+/// Time for which an engine that carried out an order gets no other: its heartbeat lags.
+const REPORT_DELAY: Duration = Duration::from_secs(5);
+
 /// The pools that a router coordinates.
 #[derive(Debug, Default)]
 struct Coordination {
     lease: u64,
     fencing: BTreeMap<name::Name, u64>,
     try_after: BTreeMap<name::Name, timers::Now>,
-    passed_over: Mutex<BTreeMap<name::Name, timers::Now>>,
+    passed_over: BTreeMap<name::Name, timers::Now>,
 }
 
 /// Starts giving orders.
@@ -84,8 +87,7 @@
             models: beat.models.into_iter().collect(),
         })
         .collect();
-    let passed_over = held.passed_over.lock().unwrap();
-    let passed = passed_over.iter().filter(|(_, until)| **until > now);
+    let passed = held.passed_over.iter().filter(|(_, until)| **until > now);
     let passed: BTreeSet<_> = passed.map(|(name, _)| name.clone()).collect();
     orders::next(pool, &engines, &passed)
 }
@@ -195,7 +197,9 @@
         subject,
         ..
     } = step;
+    let passed_over = &mut held.passed_over;
     if result.code == Code::Ok {
+        passed_over.insert(engine.clone(), now + REPORT_DELAY);
         return tracing::info!("orders: {engine} did {action} {subject}.");
     }
     tracing::warn!(
@@ -207,6 +211,5 @@
         held.try_after.insert(pool.clone(), now + RETRY_AFTER);
         return;
     }
-    let mut passed_over = held.passed_over.lock().unwrap();
     passed_over.insert(engine.clone(), now + PASS_OVER);
 }
--- a/src/transport/store.rs
+++ b/src/transport/store.rs
@@ -11,6 +11,9 @@
 
 const CALL_LIMIT: Duration = Duration::from_secs(2);
 
+/// Keys that one call reads; a service with its usual settings takes 128 operations.
+pub const KEYS_PER_CALL: usize = 100;
+
 /// Key of the configuration's head.
 pub const HEAD_KEY: &str = "fulmar/config/head";
 
@@ -189,7 +192,7 @@
         Ok((answer.kvs, answer.header.revision.0))
     }
 
-    /// Reads several keys in one call; a key that does not exist is left out.
+    /// Reads several keys, [`KEYS_PER_CALL`] in one call; a key that does not exist is left out.
     ///
     /// # Errors
     ///
@@ -197,6 +200,17 @@
     pub async fn get_many(
         &self,
         keys: &[String],
+    ) -> Result<BTreeMap<String, kv::KeyValue>, error::Error> {
+        let mut found = BTreeMap::new();
+        for keys in keys.chunks(KEYS_PER_CALL) {
+            found.extend(self.get_some(keys).await?);
+        }
+        Ok(found)
+    }
+
+    async fn get_some(
+        &self,
+        keys: &[String],
     ) -> Result<BTreeMap<String, kv::KeyValue>, error::Error> {
         let read = |key: &String| {
             kv::Operation::RequestRange(kv::RangeRequest {
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -60,6 +60,7 @@
         bodies.iter().all(|body| body["subject"] == "m"),
         "{bodies:?}"
     );
+    assert_eq!(bodies.len(), 3, "each engine gets its order once");
     world.platform.end_lease(lease);
     let replaced = world.agent(3);
     direct::wait_for("another lease", || world.platform.coordinator().is_some());
