Ask again for tokens that a faster request took, and take no new budget for spent

A request whose fetched tokens were reserved by another one was refused without asking again; a budget without a ledger entry looked spent to whoever came second. Ruled out: the store, which had answered each call. Change: reserve asks again while the ledger has free tokens; totals are adopted before anything is learned from a bucket; a grant covers 16 requests like the one that waits.

--- a/src/coordination/demand.rs
+++ b/src/coordination/demand.rs
@@ -8,6 +8,9 @@
 /// Part of the free tokens that one grant may take beyond what is needed at once.
 const FREE_DIVISOR: u64 = 8;
 
+/// Requests like the one that waits that a grant covers beyond it.
+const NEEDED_MULTIPLE: u64 = 16;
+
 /// Tokens are given back above this multiple of the target.
 const IDLE_MULTIPLE: u64 = 4;
 
@@ -52,10 +55,11 @@
 /// use fulmarproxy::coordination::demand;
 /// assert_eq!(demand::grant(10, 500, 8000), 500);
 /// assert_eq!(demand::grant(10, 500, 800), 100);
-/// assert_eq!(demand::grant(10, 0, 800), 10);
+/// assert_eq!(demand::grant(10, 0, 8000), 160);
 /// ```
 pub fn grant(needed: u64, missing: u64, free: u64) -> u64 {
-    needed.max(missing.min(free / FREE_DIVISOR))
+    let ahead = missing.max(needed.saturating_mul(NEEDED_MULTIPLE));
+    needed.max(ahead.min(free / FREE_DIVISOR))
 }
 
 /// Tokens that a holder lacks to live from its own hand for as long as it must.
--- a/src/coordination/refill.rs
+++ b/src/coordination/refill.rs
@@ -69,6 +69,14 @@
     *bucket != before
 }
 
+/// Takes over the published totals, so that a budget without an entry does not look spent.
+pub fn adopt(bucket: &mut ledger::Bucket, wants: &BTreeMap<name::Name, Want>) {
+    for (budget, want) in wants {
+        let entry = bucket.entries.entry(budget.clone()).or_default();
+        entry.adopt(want.total, want.version);
+    }
+}
+
 /// Share of a holder in a budget, as a bucket shows it.
 pub fn share(bucket: &ledger::Bucket, holder: member::Incarnation, budget: &str) -> ledger::Share {
     let entry = bucket.entries.get(budget);
--- a/src/router/billing.rs
+++ b/src/router/billing.rs
@@ -167,18 +167,22 @@
         return Ok(());
     }
     let start = router.runtime.timers.now();
-    let found = fetch(router, budget, tokens).await;
-    loop {
+    let found = loop {
+        let found = fetch(router, budget, tokens).await;
         let Err(short) = router.escrow.reserve(budget, tokens) else {
             return Ok(());
         };
         let waited = router.runtime.timers.now().saturating_sub(start);
-        if waited >= WAIT_LIMIT || short.available + short.reserved < tokens {
-            break;
+        let settling = short.available + short.reserved >= tokens;
+        let more = left_free(router, budget).is_some_and(|free| free > 0);
+        if waited >= WAIT_LIMIT || !(settling || more) {
+            break if more { Found::Unknown } else { found };
         }
         counter!("fulmar_reserve_waits").increment(1);
-        router.runtime.timers.sleep(WAIT_POLL).await;
-    }
+        if !more {
+            router.runtime.timers.sleep(WAIT_POLL).await;
+        }
+    };
     match found {
         Found::Nothing => Err(Code::BudgetSpent),
         Found::Unknown => Err(Code::BudgetUnreachable),
--- a/src/router/refill.rs
+++ b/src/router/refill.rs
@@ -113,6 +113,7 @@
             Some(kv) => kv::decode(kv)?,
             None => ledger::Bucket::default(),
         };
+        steps::adopt(&mut content, &wants);
         learn(router, &content, &wants);
         let current = current(router, &wants);
         if !steps::apply(&mut content, holder, &current) {
--- a/tests/tokens.rs
+++ b/tests/tokens.rs
@@ -2,6 +2,7 @@
 
 mod token_world;
 
+use fulmarproxy::{coordination::refill, state::ledger};
 use token_world::{Wrong, run};
 
 const SEEDS: u64 = 10_000;
@@ -59,3 +60,25 @@
 fn a_lost_attempt_released_unasked_is_caught() {
     assert!(caught(Wrong::LostReleased).is_some());
 }
+
+#[test]
+fn a_budget_without_an_entry_does_not_look_spent() {
+    let change = refill::Change::Grant {
+        needed: 5,
+        missing: 0,
+    };
+    let want = refill::Want {
+        change,
+        total: 100,
+        version: 1,
+    };
+    let mut bucket = ledger::Bucket::default();
+    refill::adopt(&mut bucket, &[("desk".into(), want)].into());
+    assert_eq!(refill::elsewhere(&bucket, 7, "desk"), 100);
+    assert!(refill::apply(
+        &mut bucket,
+        7,
+        &[("desk".into(), want)].into()
+    ));
+    assert_eq!(refill::share(&bucket, 7, "desk").granted, 12);
+}
