Take a ledger bucket for dry only once it holds the budget

Cause: a budget that no bucket held yet, or whose top-up was not adopted yet, was remembered as having nothing free, so the next requests were refused though all tokens were free. Change: only an entry of the configuration in force is remembered as dry.

--- a/src/router/refill.rs
+++ b/src/router/refill.rs
@@ -168,13 +168,15 @@
     let (version, now) = (router.config().config.version, router.runtime.timers.now());
     for budget in wants.keys() {
         let share = steps::share(bucket, holder, budget);
-        let free = bucket.entries.get(budget).map_or(0, ledger::Entry::free);
+        let entry = bucket.entries.get(budget);
+        let free = entry.map_or(0, ledger::Entry::free);
+        let is_current = entry.is_some_and(|entry| entry.version >= version);
         let elsewhere = steps::elsewhere(bucket, holder, budget);
         router.escrow.with(budget, |account| {
             account.learn(share);
             account.free = free;
             account.elsewhere = elsewhere;
-            if free == 0 {
+            if free == 0 && is_current {
                 account.dry_ledger.note(version, now);
             }
         });
