--- a/examples/budgets/fleet.rs
+++ b/examples/budgets/fleet.rs
@@ -16,7 +16,6 @@
 const TICKS_PER_SECOND: u64 = 4;
 const WAIT_TICKS: u64 = 2 * TICKS_PER_SECOND;
 const CLOSING_DELAY: u64 = 15 * TICKS_PER_SECOND;
-const KEEP: Duration = Duration::from_secs(30);
 const AGENT: u64 = 1;
 
 /// A version of the design.
@@ -422,10 +421,9 @@
         let (asker, from) = (&self.routers[index], &self.routers[giver]);
         let (to, by) = (asker.member.incarnation, from.member.incarnation);
         let received = asker.escrow.with(budget, |a| draw::received(a, by));
-        let given = from.escrow.with(budget, |account| {
-            let keep = account.demand.target(KEEP);
-            draw::give(account, to, received, wanted, keep)
-        });
+        let given = from
+            .escrow
+            .with(budget, |account| draw::give(account, to, received, wanted));
         asker.escrow.with(budget, |a| draw::accept(a, by, given));
     }
 
--- a/src/coordination/draw.rs
+++ b/src/coordination/draw.rs
@@ -2,21 +2,17 @@
 
 use crate::{coordination::account, state::member};
 
-/// Part of the available tokens that a giver keeps at most.
-const KEEP_DIVISOR: u64 = 2;
-
 /// The giver's step: lowers the own tokens first; returns all tokens ever given to the asker.
 ///
 /// When the asker has not yet received everything given before, that is sent again and nothing
-/// is added: a repeated or late call moves no second amount. Of its own tokens the giver keeps
-/// `keep`, but no more than half.
+/// is added: a repeated or late call moves no second amount.
 ///
 /// ```
 /// use fulmarproxy::coordination::{account, draw};
 /// let mut giver = account::Account::default();
 /// giver.share.granted = 10;
-/// assert_eq!(draw::give(&mut giver, 7, 0, 4, 0), 4);
-/// assert_eq!(draw::give(&mut giver, 7, 0, 4, 0), 4);
+/// assert_eq!(draw::give(&mut giver, 7, 0, 4), 4);
+/// assert_eq!(draw::give(&mut giver, 7, 0, 4), 4);
 /// assert_eq!(giver.available(), 6);
 /// ```
 pub fn give(
@@ -24,15 +20,12 @@
     asker: member::Incarnation,
     received: u64,
     wanted: u64,
-    keep: u64,
 ) -> u64 {
     let given = giver.figures.given.get(&asker).copied().unwrap_or(0);
     if given > received {
         return given;
     }
-    let available = giver.available();
-    let kept = keep.min(available / KEEP_DIVISOR);
-    let tokens = wanted.min(available - kept);
+    let tokens = wanted.min(giver.available());
     if tokens == 0 {
         return given;
     }
--- a/src/router/billing.rs
+++ b/src/router/billing.rs
@@ -103,7 +103,8 @@
             let pause = upkeep_period(gossip::fleet_size(&router)).mul_f64(spread);
             router.runtime.timers.sleep(pause).await;
             record::flush(&router).await;
-            if !router.billing.is_fenced() {
+            let stopped = router.billing.is_fenced() || router.leaving.load(Ordering::Relaxed);
+            if !stopped {
                 upkeep(&router).await;
             }
         }
--- a/src/router/draw.rs
+++ b/src/router/draw.rs
@@ -14,9 +14,6 @@
 
 const LIMIT: Duration = Duration::from_secs(1);
 
-/// Time whose demand a giver keeps for itself.
-const KEEP: Duration = Duration::from_secs(30);
-
 /// What a round of draws brought.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Drawn {
@@ -163,8 +160,7 @@
         return None;
     }
     let (given, free) = router.escrow.with(&budget, |account| {
-        let keep = account.demand.target(KEEP);
-        let given = steps::give(account, asker, received, wanted, keep);
+        let given = steps::give(account, asker, received, wanted);
         (given, account.available())
     });
     Some(messages::RouterReply::Drawn { given, free })
--- a/src/router/recovery.rs
+++ b/src/router/recovery.rs
@@ -28,7 +28,7 @@
 const QUIET_LIMIT: Duration = Duration::from_secs(6);
 
 /// Silence after which a holder that the list of VMs still names is fenced.
-const SILENT_LIMIT: Duration = Duration::from_secs(600);
+const SILENT_LIMIT: Duration = Duration::from_secs(4 * 3600);
 
 const ATTEMPTS: u32 = 16;
 
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -77,3 +77,17 @@
         granted == fleet.engine_tokens()
     });
 }
+
+#[test]
+fn a_router_draws_from_its_peer_while_the_store_is_down() {
+    let fleet = fleet();
+    let (status, body) = fleet.chat(1, KEY, &question());
+    assert_eq!(status, 200, "{body}");
+    common::wait_for("the first router to hold enough for both", || {
+        let granted: u64 = entry(&fleet).shares.values().map(|s| s.granted).sum();
+        granted >= fleet.engine_tokens() + 50
+    });
+    fleet.platform.signal("-KILL");
+    let (status, body) = fleet.chat(0, KEY, &question());
+    assert_eq!(status, 200, "{body}");
+}
--- a/tests/token_world/mod.rs
+++ b/tests/token_world/mod.rs
@@ -25,6 +25,7 @@
     ReceiptTwice,
     StaleLimit,
     LostReleased,
+    OlderRecord,
 }
 
 struct Attempt {
@@ -468,7 +469,7 @@
         let late = self.wrong == Wrong::GiverLate;
         let given = self.holders[giver].escrow.with(&budget, |account| {
             let before = account.figures.clone();
-            let given = draw::give(account, incarnation, received, wanted, 5);
+            let given = draw::give(account, incarnation, received, wanted);
             if late && given > received {
                 account.figures = before;
             }
@@ -604,7 +605,10 @@
             let log = &mut self.agents[*agent as usize].log;
             log.acknowledge(state.member.incarnation, covered.through);
         }
-        self.records.insert(state.member.incarnation, record);
+        let older = self.records.insert(state.member.incarnation, record);
+        if let Some(older) = older.filter(|_| self.wrong == Wrong::OlderRecord) {
+            self.records.insert(state.member.incarnation, older);
+        }
     }
 
     fn crash(&mut self, holder: usize) {
--- a/tests/tokens.rs
+++ b/tests/tokens.rs
@@ -59,3 +59,8 @@
 fn a_lost_attempt_released_unasked_is_caught() {
     assert!(caught(Wrong::LostReleased).is_some());
 }
+
+#[test]
+fn an_older_record_over_a_newer_one_is_caught() {
+    assert!(caught(Wrong::OlderRecord).is_some());
+}
