--- a/src/router/refill.rs
+++ b/src/router/refill.rs
@@ -169,15 +169,13 @@
     let (version, now) = (router.config().config.version, router.runtime.timers.now());
     for budget in wants.keys() {
         let share = steps::share(bucket, holder, budget);
-        let entry = bucket.entries.get(budget);
-        let free = entry.map_or(0, ledger::Entry::free);
-        let is_current = entry.is_some_and(|entry| entry.version >= version);
+        let free = bucket.entries.get(budget).map_or(0, ledger::Entry::free);
         let elsewhere = steps::elsewhere(bucket, holder, budget);
         router.escrow.with(budget, |account| {
             account.learn(share);
             account.free = free;
             account.elsewhere = elsewhere;
-            if free == 0 && is_current {
+            if free == 0 {
                 account.dry_ledger.note(version, now);
             }
         });
--- a/tests/tokens.rs
+++ b/tests/tokens.rs
@@ -82,3 +82,8 @@
     ));
     assert_eq!(refill::share(&bucket, 7, "desk").granted, 12);
 }
+
+#[test]
+fn an_older_record_over_a_newer_one_is_caught() {
+    assert!(caught(Wrong::OlderRecord).is_some());
+}
