Break queued requests too when the engine's stand-in crashes

Cause: a crashed process drops the connections of its queue, not only of its streams. Change: a request that waited through a crash is broken off. Conclusion: shown beside a running neighbour in tests/standins.rs.

--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -110,6 +110,7 @@
     let priority = serde_json::from_slice::<Priority>(body).map_or(0, |found| found.priority);
     let id = conn.request_headers().get_str("x-request-id");
     let id = id.unwrap_or_default().to_owned();
+    let generation = engine.crashes.generation();
     let entered = engine.batch.enter(priority);
     let Some(entered) = conn.cancel_on_disconnect(entered).await else {
         return conn;
@@ -117,8 +118,8 @@
     let Ok(slot) = entered else {
         return engine.refuse(conn, "the queue is full");
     };
-    if engine.crashes.is_down() {
-        return engine.refuse(conn, "restarting");
+    if generation != engine.crashes.generation() {
+        return reply::broken(conn);
     }
     let run = engine_run::Run::begin(engine, slot, id, &req);
     if req.stream {
