--- a/src/ctl/publication.rs
+++ b/src/ctl/publication.rs
@@ -128,10 +128,12 @@
     contents: &std::collections::BTreeMap<String, object_set::ObjectSet>,
 ) -> Result<(), error::Error> {
     let current: BTreeSet<&String> = head.chunks.values().collect();
-    let new = contents
-        .iter()
-        .filter(|(digest, _)| !current.contains(digest));
-    let writes = new.map(|(digest, content)| write_chunk(store, digest, content));
+    let mut writes = Vec::new();
+    for (digest, content) in contents {
+        if !current.contains(digest) {
+            writes.push(write_chunk(store, digest, content));
+        }
+    }
     let mut written = futures::stream::iter(writes).buffer_unordered(WRITES_AT_ONCE);
     while let Some(written) = written.next().await {
         written?;
--- a/tests/world/faults.rs
+++ b/tests/world/faults.rs
@@ -17,7 +17,7 @@
     ShortAnswers,
     /// Attempts that ran are reported as not run.
     DeniedRuns,
-    /// Every attempt is delivered twice.
+    /// An agent runs each attempt twice.
     RepeatedRuns,
     /// Nobody tells the routers that an agent is leaving.
     HiddenLeaving,
