--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -14,4 +14,5 @@
 pub mod objects;
 pub mod platform;
 pub mod play;
+pub mod random;
 pub mod script;
