Let the last outcomes leave an agent before its process ends

Cause: an agent ended as soon as nothing ran, while the last outcome was still on its way; the router then asked for the rest of an answer for 10 s and broke the stream. Change: the process lingers for a second after its last answer.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -29,6 +29,10 @@
 pub mod usage;
 
 const IDLE_POLL: Duration = Duration::from_millis(50);
+
+/// Time for the last outcomes to reach their routers before the process ends.
+const LINGER: Duration = Duration::from_secs(1);
+
 const SWEEP_PERIOD: Duration = Duration::from_millis(500);
 
 /// What an agent is made of.
@@ -234,6 +238,7 @@
         while agent.active() > 0 {
             timers.sleep(IDLE_POLL).await;
         }
+        timers.sleep(LINGER).await;
     };
     timers.within(agent.settings.drain, idle).await;
     drop(accepting);
