--- a/src/ctl/publication.rs
+++ b/src/ctl/publication.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use futures::StreamExt;
+use futures::{StreamExt, stream};
 
 use crate::{
     coordination::publish,
@@ -134,7 +134,7 @@
             writes.push(write_chunk(store, digest, content));
         }
     }
-    let mut written = futures::stream::iter(writes).buffer_unordered(WRITES_AT_ONCE);
+    let mut written = stream::iter(writes).buffer_unordered(WRITES_AT_ONCE);
     while let Some(written) = written.next().await {
         written?;
     }
