Write the holder's record at start

Cause: a router whose store went down within its first second held no record, so it could draw from no peer. The test a_router_draws_from_its_peer_while_the_store_is_down showed it.

--- a/src/router/billing.rs
+++ b/src/router/billing.rs
@@ -99,14 +99,13 @@
     runtime.spawn(async move {
         let mut rng = router.runtime.rng();
         while !router.billing.is_fenced() {
-            let spread = 0.9 + 0.2 * rng.f64();
-            let pause = upkeep_period(gossip::fleet_size(&router)).mul_f64(spread);
-            router.runtime.timers.sleep(pause).await;
             record::flush(&router).await;
-            let stopped = router.billing.is_fenced() || router.leaving.load(Ordering::Relaxed);
-            if !stopped {
+            if !router.billing.is_fenced() && !router.leaving.load(Ordering::Relaxed) {
                 upkeep(&router).await;
             }
+            let spread = 0.9 + 0.2 * rng.f64();
+            let pause = upkeep_period(gossip::fleet_size(&router)).mul_f64(spread);
+            router.runtime.timers.sleep(pause).await;
         }
     });
 }
