--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -5,7 +5,7 @@
 use fulmarproxy::{
     protocol::kv,
     state::{holder_record, ledger},
-    transport::store,
+    transport::{http, store},
 };
 use serde_json::{Value, json};
 
@@ -78,9 +78,17 @@
     });
 }
 
+fn knows_a_peer(fleet: &common::Fleet, router: usize) -> bool {
+    let url = format!("http://{}/status", fleet.routers[router].admin);
+    let found: Result<Value, _> = smol::block_on(http::get(&fleet.client, "status", &url));
+    let peers = found.map(|found| found["peers"].as_array().map_or(0, Vec::len));
+    peers.is_ok_and(|peers| peers > 0)
+}
+
 #[test]
 fn a_router_draws_from_its_peer_while_the_store_is_down() {
     let fleet = fleet();
+    common::wait_for("the asker to know its peer", || knows_a_peer(&fleet, 0));
     let (status, body) = fleet.chat(1, KEY, &question());
     assert_eq!(status, 200, "{body}");
     common::wait_for("the first router to hold enough for both", || {
