--- a/examples/explore/main.rs
+++ b/examples/explore/main.rs
@@ -22,10 +22,12 @@
         .opt_get_default("runs", 100)
         .expect("--runs is a number");
     let mut shown = BTreeMap::new();
-    let mut red = 0;
+    let (mut red, mut answered, mut sent) = (0, 0, 0);
     for seed in seed..seed + runs {
         let text = random::generate(seed);
         let report = random::play(&text);
+        answered += report.answered.0;
+        sent += report.answered.1;
         let Some(found) = report.violations.first() else {
             continue;
         };
@@ -37,5 +39,6 @@
             println!("{}", random::shrink(&text));
         }
     }
+    println!("{answered} of {sent} sends were answered whole.");
     println!("{runs} scenarios, {red} with a broken promise: {shown:?}");
 }
--- a/tests/world/engine.rs
+++ b/tests/world/engine.rs
@@ -107,6 +107,11 @@
         self.state.lock().unwrap().runs.iter().for_each(&mut look);
     }
 
+    /// Whether it ever ended its streams.
+    pub fn has_crashed(&self) -> bool {
+        self.state.lock().unwrap().epoch > 0
+    }
+
     /// Ends every stream; the engine takes calls again after `down_for`.
     pub fn crash(&self, down_for: Duration) {
         let mut state = self.state.lock().unwrap();
