Count an agent's runs of a request once in the billing check

Cause: the check counted the engine's runs of a request once for each attempt at the same agent, so a retry at the same backend server looked like two runs and the bill looked too low. Ruled out by trace: lost receipts, lost replies of the store; every refusal in the traces was truly not run. Change: attempts are grouped by request and agent; the upper bound is the sum of their bounds as before, so a charge above it is still found. An attempt that joins its own request keeps its receipt.

--- a/src/agent/attempt.rs
+++ b/src/agent/attempt.rs
@@ -68,6 +68,7 @@
             agent.runtime.spawn(task);
             answers::follow(agent, &id, 0, tx).await
         }
+        Err(Begin::Join(id)) if id == req.id => answers::follow(agent, &id, 0, tx).await,
         Err(Begin::Join(id)) => joined(answers::follow(agent, &id, 0, tx).await),
         Err(Begin::Reused) => {
             run::RunOutcome::not_run(Code::KeyReused, "the key came with another body")
--- a/tests/world/checks.rs
+++ b/tests/world/checks.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use fulmarproxy::{
-    state::{holder_record, ledger},
+    state::{holder_record, ledger, member},
     transport::store,
 };
 
@@ -188,27 +188,29 @@
 }
 
 /// What the attempts of a budget must cost; their bounds where the end of a run was lost.
+///
+/// Attempts of one request at one agent share the runs that the engine counts under its id.
 fn chargeable(play: &play::Play, budget: &str) -> Range {
     let mut range = Range::default();
     let whole: Vec<_> = play.callers.all().into_iter().filter(is_whole).collect();
     let dispatches = play.members.dispatches.lock().unwrap().clone();
+    let mut groups: BTreeMap<(String, member::Incarnation), Vec<members::Dispatch>> =
+        BTreeMap::new();
     for dispatch in dispatches
         .iter()
         .filter(|dispatch| dispatch.budget == budget)
     {
-        let runs = runs_of(play, dispatch);
+        let group = groups.entry((dispatch.id.clone(), dispatch.agent));
+        group.or_default().push(dispatch.clone());
+    }
+    for ((id, agent), group) in &groups {
+        let runs = runs_of(play, &group[0]);
         let made: u64 = runs.iter().map(|run| run.tokens).sum();
-        let same = dispatches.iter().filter(|other| other.id == dispatch.id);
-        let was_given = whole
-            .iter()
-            .any(|sent| sent.id.as_deref() == Some(&dispatch.id));
-        let lives = play.lives(dispatch.agent);
-        let exact = lives && (runs.is_empty() || (was_given && same.count() == 1));
-        let most = if exact {
-            made
-        } else {
-            dispatch.bound.max(made)
-        };
+        let same = dispatches.iter().filter(|other| other.id == *id);
+        let was_given = whole.iter().any(|sent| sent.id.as_deref() == Some(id));
+        let exact = play.lives(*agent) && (runs.is_empty() || (was_given && same.count() == 1));
+        let bounds: u64 = group.iter().map(|dispatch| dispatch.bound).sum();
+        let most = if exact { made } else { bounds.max(made) };
         range.least += i128::from(made);
         range.most += i128::from(most);
     }
