Let heartbeats and reads of the list of VMs grow rarer with the fleet

Cause: at the two-year size a router would receive 77 heartbeats a second and read a list of 12,470 VMs every 2 s, far over 15 KB/s. Change: a router's share of heartbeats is bounded at 20 a second, the list is read every 20 ms times its length, and the silence that suspects an agent grows with the period.

--- a/src/agent/beats.rs
+++ b/src/agent/beats.rs
@@ -16,48 +16,62 @@
     transport::timers,
 };
 
-const BEAT_PERIOD: Duration = Duration::from_secs(1);
 const BEAT_LIMIT: Duration = Duration::from_secs(2);
 
-/// Period of reading the list while all routers answer.
+/// Least time between two reads of the list while all routers answer.
 const CALM_LIST_PERIOD: Duration = Duration::from_secs(30);
 
-/// Least time between two reads of the list.
-const LIST_PERIOD: Duration = Duration::from_secs(2);
+/// Times that the list may be read more often while a router does not answer.
+const TROUBLED_DIVISOR: u32 = 8;
+
+/// What the list of VMs says about the heartbeats.
+#[derive(Clone, Debug, Default)]
+pub struct Plan {
+    /// Addresses of the routers that the agent reports to.
+    pub routers: Vec<name::Name>,
+    beat_period: Duration,
+    list_period: Duration,
+}
 
 /// Starts the heartbeats.
 pub fn start(agent: Arc<Agent>) {
     let runtime = agent.runtime.clone();
     runtime.spawn(async move {
-        let ticks = agent.runtime.every(BEAT_PERIOD);
-        let mut routers = Vec::new();
+        let mut plan = Plan::default();
         let mut read_at: Option<timers::Now> = None;
         let failed = Arc::new(AtomicBool::new(false));
-        while let Ok(now) = ticks.recv().await {
-            let troubled = failed.load(Ordering::Relaxed) || routers.is_empty();
-            let period = if troubled {
-                LIST_PERIOD
-            } else {
-                CALM_LIST_PERIOD
+        loop {
+            let now = agent.runtime.timers.now();
+            let few = plan.routers.len() < membership::ROUTERS_PER_AGENT;
+            let troubled = failed.load(Ordering::Relaxed) || few;
+            let period = match troubled {
+                true => membership::LEAST_LIST_PERIOD.max(plan.list_period / TROUBLED_DIVISOR),
+                false => plan.list_period.max(CALM_LIST_PERIOD),
             };
             if read_at.is_none_or(|at| now.saturating_sub(at) > period) {
-                routers = read_routers(&agent).await.unwrap_or(routers);
+                plan = read_plan(&agent).await.unwrap_or(plan);
                 read_at = Some(now);
                 failed.store(false, Ordering::Relaxed);
             }
-            for address in &routers {
+            for address in &plan.routers {
                 let beat = beat(agent.clone(), address.clone(), failed.clone());
                 agent.runtime.spawn(beat);
             }
+            let pause = plan.beat_period.max(membership::LEAST_BEAT_PERIOD);
+            agent
+                .runtime
+                .timers
+                .sleep(agent.runtime.spread(pause))
+                .await;
         }
     });
 }
 
-/// Addresses of the routers that the agent reports to.
-pub async fn read_routers(agent: &Agent) -> Option<Vec<name::Name>> {
+/// Reads from the list of VMs whom to report to, and how often.
+pub async fn read_plan(agent: &Agent) -> Option<Plan> {
     let read = agent.runtime.timers.within(BEAT_LIMIT, (agent.vms.read)());
     match read.await {
-        Some(Ok(vms)) => Some(choose(agent, vms)),
+        Some(Ok(vms)) => Some(plan(agent, vms)),
         Some(Err(err)) => {
             tracing::warn!("beats: {err}.");
             None
@@ -69,6 +83,16 @@
     }
 }
 
+fn plan(agent: &Agent, vms: Vec<vm_list::Vm>) -> Plan {
+    let routers = vms.iter().filter(|vm| vm.role == vm_list::VmRole::Router);
+    let routers = routers.count();
+    Plan {
+        beat_period: membership::beat_period(vms.len() - routers, routers),
+        list_period: membership::list_period(vms.len()),
+        routers: choose(agent, vms),
+    }
+}
+
 fn choose(agent: &Agent, vms: Vec<vm_list::Vm>) -> Vec<name::Name> {
     let serving =
         |vm: &vm_list::Vm| vm.role == vm_list::VmRole::Router && vm.state == vm_list::VmState::Live;
--- a/src/agent/crashes.rs
+++ b/src/agent/crashes.rs
@@ -92,7 +92,7 @@
 /// Reports to every router before the request ends, so that a repeat is not run first.
 async fn tell_routers(agent: &Arc<Agent>) {
     let told = async {
-        let routers = beats::read_routers(agent).await.unwrap_or_default();
+        let routers = beats::read_plan(agent).await.unwrap_or_default().routers;
         let sent = routers
             .into_iter()
             .map(|address| beats::beat(agent.clone(), address, Arc::default()));
--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -27,6 +27,57 @@
 /// Replaced incarnations that are remembered.
 pub const REPLACED_KEPT: usize = 1024;
 
+/// Least time between two heartbeats of an agent.
+pub const LEAST_BEAT_PERIOD: Duration = Duration::from_secs(1);
+
+/// Heartbeats that a router receives in a second, on average and at most.
+pub const BEATS_PER_SECOND: u32 = 20;
+
+/// Least time between two reads of the list of VMs.
+pub const LEAST_LIST_PERIOD: Duration = Duration::from_secs(2);
+
+/// Part of the time between two reads of the list that each VM on it adds.
+pub const LIST_PERIOD_PER_VM: Duration = Duration::from_millis(20);
+
+/// Heartbeats that an agent may miss before it is suspected.
+pub const MISSED_BEATS: u32 = 3;
+
+/// Time between two heartbeats of an agent, so that a router's share of them is bounded.
+///
+/// ```
+/// use std::time::Duration;
+/// use fulmarproxy::coordination::membership;
+/// assert_eq!(membership::beat_period(20, 4), Duration::from_secs(1));
+/// assert!(membership::beat_period(12_000, 470) > Duration::from_secs(3));
+/// ```
+pub fn beat_period(agents: usize, routers: usize) -> Duration {
+    let beats = (agents * ROUTERS_PER_AGENT) as f64;
+    let taken = f64::from(BEATS_PER_SECOND) * routers.max(1) as f64;
+    LEAST_BEAT_PERIOD.max(Duration::from_secs_f64(beats / taken))
+}
+
+/// Silence after which an agent is suspected.
+///
+/// ```
+/// use std::time::Duration;
+/// use fulmarproxy::coordination::membership;
+/// assert_eq!(membership::suspect_after(20, 4), Duration::from_secs(3));
+/// ```
+pub fn suspect_after(agents: usize, routers: usize) -> Duration {
+    beat_period(agents, routers) * MISSED_BEATS
+}
+
+/// Time between two reads of the list of VMs, which grows with the list.
+///
+/// ```
+/// use std::time::Duration;
+/// use fulmarproxy::coordination::membership;
+/// assert_eq!(membership::list_period(24), Duration::from_secs(2));
+/// ```
+pub fn list_period(vms: usize) -> Duration {
+    LEAST_LIST_PERIOD.max(LIST_PERIOD_PER_VM * vms as u32)
+}
+
 /// A router as far as the choice of partners is concerned.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Place {
--- a/src/coordination/roster.rs
+++ b/src/coordination/roster.rs
@@ -7,7 +7,7 @@
 
 use crate::state::{member, name};
 
-/// Silence after which an agent gets no new work.
+/// Silence after which an agent gets no new work, until the size of the fleet is known.
 pub const SUSPECT_AFTER: Duration = Duration::from_secs(3);
 
 /// Silence after which an agent is forgotten.
@@ -44,12 +44,23 @@
 }
 
 /// All agents known, by VM name.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Roster {
     agents: BTreeMap<name::Name, Agent>,
+    suspect_after: Duration,
     leaving: BTreeSet<(name::Name, name::Name)>,
 }
 
+impl Default for Roster {
+    fn default() -> Self {
+        Self {
+            agents: BTreeMap::new(),
+            suspect_after: SUSPECT_AFTER,
+            leaving: BTreeSet::new(),
+        }
+    }
+}
+
 impl Roster {
     /// Takes a heartbeat; a new incarnation replaces the old one, an older heartbeat changes nothing.
     pub fn beat(&mut self, member: member::Member, service: name::Name, load: Load, now: Duration) {
@@ -82,12 +93,27 @@
         now: Duration,
     ) -> impl Iterator<Item = &'a Agent> {
         self.agents.values().filter(move |agent| {
-            let fresh = now.saturating_sub(agent.seen) < SUSPECT_AFTER;
+            let fresh = self.is_fresh(agent, now);
             let serves = !agent.load.draining && !agent.load.down && !self.is_leaving(agent);
             fresh && serves && services.contains(&agent.service)
         })
     }
 
+    /// Whether an agent has been heard of within the time that suspects it.
+    pub fn is_fresh(&self, agent: &Agent, now: Duration) -> bool {
+        now.saturating_sub(agent.seen) < self.suspect_after
+    }
+
+    /// Silence after which an agent gets no new work.
+    pub fn suspect_after(&self) -> Duration {
+        self.suspect_after
+    }
+
+    /// Changes the silence after which an agent gets no new work.
+    pub fn set_suspect_after(&mut self, limit: Duration) {
+        self.suspect_after = limit;
+    }
+
     /// Replaces the names and addresses of the VMs that are about to go.
     pub fn set_leaving(&mut self, leaving: BTreeSet<(name::Name, name::Name)>) {
         self.leaving = leaving;
--- a/src/router.rs
+++ b/src/router.rs
@@ -160,8 +160,8 @@
 
     /// A summary as JSON.
     pub fn status(&self) -> String {
-        let roster = self.roster.lock().unwrap();
         let versions = gossip::versions_of_agents(self);
+        let roster = self.roster.lock().unwrap();
         let registered = roster
             .all()
             .filter(|agent| self.registry.admits(agent.member.incarnation));
--- a/src/router/exchange.rs
+++ b/src/router/exchange.rs
@@ -364,8 +364,7 @@
     now: timers::Now,
 ) -> Vec<&'a roster::Agent> {
     let leaving = roster.all().filter(|agent| {
-        let fresh = now.saturating_sub(agent.seen) < roster::SUSPECT_AFTER;
-        fresh && agent.load.draining && req.services.contains(&agent.service)
+        roster.is_fresh(agent, now) && agent.load.draining && req.services.contains(&agent.service)
     });
     agents.extend(leaving);
     agents
--- a/src/router/gossip.rs
+++ b/src/router/gossip.rs
@@ -175,8 +175,9 @@
 /// Heartbeats of agents that are not suspected.
 pub fn fresh_beats(router: &Router) -> Vec<messages::AgentBeat> {
     let now = router.runtime.timers.now();
+    let limit = router.roster.lock().unwrap().suspect_after();
     let reports = router.gossip.reports.lock().unwrap();
-    let fresh = reports.fresh(now, roster::SUSPECT_AFTER);
+    let fresh = reports.fresh(now, limit);
     fresh.map(|report| report.content.clone()).collect()
 }
 
--- a/src/router/members.rs
+++ b/src/router/members.rs
@@ -3,37 +3,42 @@
 use std::{sync::Arc, time::Duration};
 
 use crate::{
+    coordination::membership,
     protocol::vm_list,
     router::{Router, gossip},
     state::name,
 };
 
-const LIST_PERIOD: Duration = Duration::from_secs(2);
 const LIST_LIMIT: Duration = Duration::from_secs(2);
 
 /// Starts reading the list.
 pub fn start(router: Arc<Router>) {
     let runtime = router.runtime.clone();
     runtime.spawn(async move {
-        let ticks = router.runtime.every(LIST_PERIOD);
         loop {
-            read(&router).await;
-            if ticks.recv().await.is_err() {
-                return;
-            }
+            let vms = read(&router).await.unwrap_or(0);
+            let pause = router.runtime.spread(membership::list_period(vms));
+            router.runtime.timers.sleep(pause).await;
         }
     });
 }
 
-async fn read(router: &Router) {
+/// Reads the list once; returns its length, `None` when it does not answer.
+async fn read(router: &Router) -> Option<usize> {
     let read = router
         .runtime
         .timers
         .within(LIST_LIMIT, (router.vms.read)());
     let vms = match read.await {
         Some(Ok(vms)) => vms,
-        Some(Err(err)) => return tracing::warn!("members: {err}."),
-        None => return tracing::warn!("members: the list of VMs does not answer."),
+        Some(Err(err)) => {
+            tracing::warn!("members: {err}.");
+            return None;
+        }
+        None => {
+            tracing::warn!("members: the list of VMs does not answer.");
+            return None;
+        }
     };
     gossip::take_list(router, &vms);
     let others = vms
@@ -46,7 +51,11 @@
     let leaving = leaving.map(|vm| (vm.name.clone(), vm.address.clone()));
     let mut roster = router.roster.lock().unwrap();
     roster.set_leaving(leaving.collect());
+    let agents = vms.iter().filter(|vm| vm.role == vm_list::VmRole::Agent);
+    let suspect_after = membership::suspect_after(agents.count(), peers.len() + 1);
+    roster.set_suspect_after(suspect_after);
     roster.forget(router.runtime.timers.now());
     drop(roster);
     *router.peers.lock().unwrap() = peers;
+    Some(vms.len())
 }
--- a/src/transport/runtime.rs
+++ b/src/transport/runtime.rs
@@ -52,6 +52,17 @@
         fastrand::Rng::with_seed((self.random)())
     }
 
+    /// Spreads a period by up to a tenth, so that members do not act in step.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let runtime = fulmarproxy::transport::runtime::Runtime::default();
+    /// assert!(runtime.spread(Duration::from_secs(10)) < Duration::from_secs(11));
+    /// ```
+    pub fn spread(&self, period: Duration) -> Duration {
+        jittered(period, &mut self.rng())
+    }
+
     /// Sends a tick about every `period`, spread by up to a tenth so that members do not act in
     /// step; a tick that nobody has taken yet is not sent twice.
     ///
@@ -67,8 +78,7 @@
         self.spawn(async move {
             let mut rng = runtime.rng();
             loop {
-                let spread = 1.0 + JITTER * (rng.f64() - 0.5);
-                runtime.timers.sleep(period.mul_f64(spread)).await;
+                runtime.timers.sleep(jittered(period, &mut rng)).await;
                 let sent = tx.try_send(runtime.timers.now());
                 if let Err(async_channel::TrySendError::Closed(_)) = sent {
                     return;
@@ -78,3 +88,7 @@
         rx
     }
 }
+
+fn jittered(period: Duration, rng: &mut fastrand::Rng) -> Duration {
+    period.mul_f64(1.0 + JITTER * (rng.f64() - 0.5))
+}
