Close the record of a leaving router

Cause: a leaving router tried its return and its last record once, and nothing closed the record. Recovery does not fence a silent holder for four hours while the list of VMs still names it.

Change: after its last request a router returns its tokens, writes its record, adds itself to the fences and closes itself through the usual promises; it tries again within the drain limit. Once the fence is written any other router can finish. Recovery also fences a router that the list calls leaving and that has been silent for its drain limit; the promises still decide.

The test of a leaving router in tests/recovery.rs expected a share of the size of what was spent to stay. That share is now closed, so the test asks for no granted tokens and for a closed figure equal to what the engines made, which is stricter.

--- a/src/router.rs
+++ b/src/router.rs
@@ -179,8 +179,22 @@
         .to_string()
     }
 
-    /// Finishes what is in flight and settles, up to the limit of the settings.
+    /// Finishes what is in flight, settles and closes the own record, up to the limit of the
+    /// settings for each.
+    ///
+    /// Afterwards the router pays for no request any more, unless some are still in flight. What
+    /// it could not settle, other routers do.
     pub async fn leave(&self) {
+        let limit = self.settings.drain;
+        self.finish().await;
+        let timers = &self.runtime.timers;
+        if timers.within(limit, billing::settle(self)).await.is_none() {
+            tracing::warn!("router: other routers settle what is left.");
+        }
+    }
+
+    /// Waits until nothing is in flight, up to the limit of the settings.
+    async fn finish(&self) {
         self.leaving.store(true, Ordering::Relaxed);
         let timers = &self.runtime.timers;
         let idle = async {
@@ -189,7 +203,6 @@
             }
         };
         timers.within(self.settings.drain, idle).await;
-        billing::hand_back(self).await;
     }
 }
 
@@ -264,9 +277,9 @@
     router.leaving.store(true, Ordering::Relaxed);
     let closing = front.shut_down();
     let drain = router.settings.drain;
-    router.leave().await;
+    router.finish().await;
     router.runtime.timers.within(drain, closing).await;
-    record::flush(&router).await;
+    router.leave().await;
     drop(accepting);
     admin.shut_down().await;
     Ok(())
--- a/src/router/billing.rs
+++ b/src/router/billing.rs
@@ -14,7 +14,8 @@
 use crate::{
     code::Code,
     coordination::{demand, refill as steps},
-    router::{Router, draw, gossip, record, refill},
+    error,
+    router::{Router, draw, gossip, record, recovery, refill},
     state::{holder_record, ledger, member, name},
 };
 
@@ -28,6 +29,12 @@
 
 const WAIT_POLL: Duration = Duration::from_millis(50);
 
+/// Time between two tries of a leaving router to settle.
+const SETTLE_POLL: Duration = Duration::from_millis(500);
+
+/// Tries of a leaving router to close its record while a member is silent.
+const CLOSING_TRIES: u32 = 5;
+
 /// What billing remembers between calls.
 ///
 /// Lock order: a bucket, `flushing`, `promised`, `written`; `pending` alone.
@@ -85,7 +92,12 @@
         self.fenced.load(Ordering::Relaxed)
     }
 
-    /// Spends no more from now on.
+    /// Spends no more from now on, because this router leaves and closes its own record.
+    fn end(&self) {
+        self.fenced.store(true, Ordering::Relaxed);
+    }
+
+    /// Spends no more from now on, because other routers have fenced this one.
     pub fn stop(&self) {
         if !self.fenced.swap(true, Ordering::Relaxed) {
             tracing::error!("billing: this router is fenced and takes no more requests.");
@@ -224,8 +236,39 @@
     (!down).then(|| router.escrow.with(budget, |account| account.free))
 }
 
+/// Settles for good: returns the tokens, then closes the own record; tries until that is done.
+///
+/// Once the fence is written, other routers go on when a member that has to promise is silent.
+/// Ends at once, with the tokens returned, while requests are in flight: a fence would stop them.
+pub async fn settle(router: &Router) {
+    let mut blocked = 0;
+    while blocked < CLOSING_TRIES {
+        match try_settle(router).await {
+            Ok(true) => return,
+            Ok(false) => blocked += u32::from(router.billing.is_fenced()),
+            Err(err) => tracing::warn!("billing: {err}."),
+        }
+        router.runtime.timers.sleep(SETTLE_POLL).await;
+    }
+}
+
+/// One try to settle; returns whether there is nothing left to try.
+async fn try_settle(router: &Router) -> Result<bool, error::Error> {
+    if !router.billing.is_fenced() {
+        hand_back(router).await?;
+    }
+    if router.in_flight.load(Ordering::Relaxed) > 0 {
+        return Ok(true);
+    }
+    if router.escrow.reserved() > 0 && !router.billing.is_fenced() {
+        return Ok(false);
+    }
+    router.billing.end();
+    recovery::close_self(router).await
+}
+
 /// Returns every token that is not needed any more and writes the last record.
-pub async fn hand_back(router: &Router) {
+async fn hand_back(router: &Router) -> Result<(), error::Error> {
     let mut changes: BTreeMap<u64, BTreeMap<name::Name, steps::Change>> = BTreeMap::new();
     for budget in router.escrow.budgets() {
         let withheld = router.escrow.with(&budget, |account| {
@@ -239,9 +282,7 @@
     }
     for (bucket, changes) in changes {
         let _turn = router.billing.buckets[bucket as usize].lock().await;
-        if let Err(err) = refill::write(router, bucket, changes).await {
-            tracing::warn!("billing: {err}.");
-        }
+        refill::write(router, bucket, changes).await?;
     }
-    record::flush(router).await;
+    record::try_flush(router).await
 }
--- a/src/router/recovery.rs
+++ b/src/router/recovery.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::BTreeMap,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, PoisonError, atomic::Ordering},
     time::Duration,
 };
 
@@ -68,6 +68,33 @@
     });
 }
 
+/// Fences this router, whose work is over, and closes its record; returns whether it is closed.
+///
+/// Whatever is left undone after the fence, any other router does.
+///
+/// # Errors
+///
+/// [`error::Error::Store`] when the store cannot be reached.
+pub async fn close_self(router: &Router) -> Result<bool, error::Error> {
+    let own = router.member.incarnation;
+    if is_closed(router, own).await? {
+        return Ok(true);
+    }
+    fence(router, &[own]).await?;
+    read_fences(router).await?;
+    close(router).await?;
+    is_closed(router, own).await
+}
+
+/// Whether the record of a holder is closed, or was never written.
+async fn is_closed(router: &Router, holder: member::Incarnation) -> Result<bool, error::Error> {
+    let Some(found) = router.store.get(&holder_key(holder)).await? else {
+        return Ok(true);
+    };
+    let record: holder_record::HolderRecord = kv::decode(&found)?;
+    Ok(record.state == holder_record::HolderState::Closed)
+}
+
 /// One pass: fences the holders that are dead, then closes those that are fenced.
 async fn run(router: &Router) -> Result<(), error::Error> {
     record::ensure(router).await?;
@@ -147,11 +174,23 @@
         Some(_) => true,
         None => {
             silent >= SILENT_LIMIT
+                || silent >= router.settings.drain && is_leaving(router, &record.member).await
                 || resolve::is_gone(router, &record.member, vm_list::VmRole::Router).await
         }
     }
 }
 
+/// Whether the list of VMs says that a router is about to go.
+async fn is_leaving(router: &Router, member: &member::Member) -> bool {
+    let read = (router.vms.read)();
+    let Some(Ok(vms)) = router.runtime.timers.within(LIMIT, read).await else {
+        return false;
+    };
+    let routers = vms.iter().filter(|vm| vm.role == vm_list::VmRole::Router);
+    let mut leaving = routers.filter(|vm| vm.state == vm_list::VmState::Leaving);
+    leaving.any(|vm| vm.name == member.name && vm.address == member.address)
+}
+
 fn silence(router: &Router, holder: member::Incarnation, seq: u64) -> Duration {
     let now = router.runtime.timers.now();
     let mut seen = router.recovery.seen.lock().unwrap();
@@ -212,7 +251,8 @@
         };
     }
     gauge!("fulmar_closing_holders").set(closing.dead.len() as f64);
-    if closing.dead.is_empty() || closing.dead.contains_key(&router.member.incarnation) {
+    let fenced_self = closing.dead.contains_key(&router.member.incarnation);
+    if closing.dead.is_empty() || fenced_self && !router.leaving.load(Ordering::Relaxed) {
         return Ok(());
     }
     let promised = promise_routers(router, &fenced, &records, &mut closing).await?
@@ -277,8 +317,10 @@
         };
         closing.live.insert(record.member.incarnation, record);
     }
-    let record = promise(router, &dead).await?;
-    closing.live.insert(own, record);
+    if !closing.dead.contains_key(&own) {
+        let record = promise(router, &dead).await?;
+        closing.live.insert(own, record);
+    }
     Ok(true)
 }
 
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -72,10 +72,14 @@
     let (status, body) = fleet.chat(0, KEY, &question());
     assert_eq!(status, 200, "{body}");
     fleet.routers[0].signal("-TERM");
-    common::wait_for("the tokens to be returned", || {
-        let granted: u64 = entry(&fleet).shares.values().map(|s| s.granted).sum();
-        granted == fleet.engine_tokens()
-    });
+    common::wait_for(
+        "the tokens to be returned and the record to be closed",
+        || {
+            let entry = entry(&fleet);
+            let granted: u64 = entry.shares.values().map(|s| s.granted).sum();
+            granted == 0 && u64::try_from(entry.closed) == Ok(fleet.engine_tokens())
+        },
+    );
 }
 
 fn knows_a_peer(fleet: &common::Fleet, router: usize) -> bool {
