--- a/tests/mutants.rs
+++ b/tests/mutants.rs
@@ -69,6 +69,22 @@
     );
 }
 
+#[test]
+fn billed_once_finds_a_double_write_off() {
+    let deaths = "
+        router entry-2 in vestland-b
+        from 2s to 8s every 300ms send r to entry-1 as desk quick 40 tokens
+        at 6s kill entry-1
+        at 6s replace backend-1
+        run until 90s
+    ";
+    assert_caught(
+        Fault::DoubleWriteOff,
+        Promise::BilledOnce,
+        &[ONE_ROUTER, deaths],
+    );
+}
+
 #[test]
 fn whole_answer_finds_mixed_answers() {
     assert_caught(
--- a/tests/world/faults.rs
+++ b/tests/world/faults.rs
@@ -11,6 +11,8 @@
     DoubleCharge,
     /// Receipts charge nothing.
     FreeCharge,
+    /// The ledger counts the shares of dead holders twice.
+    DoubleWriteOff,
     /// Parts of answers are exchanged between requests.
     MixedAnswers,
     /// The second part of each answer is left out, and its length with it.
