Let a flood neither refuse nor delay another workspace's requests

Cause: the expected wait of a request counted everything that others had queued, and a full agent spent the pool's retries, so requests of a workspace within its share were refused. Change: the wait counts other workspaces by their share only; a full agent is tried again within the deadline without spending a retry; a router lets through no more than the slots that others leave. Control traffic is bounded further: 10 heartbeats a second for a router, 4 reports a message.

--- a/examples/capacity/main.rs
+++ b/examples/capacity/main.rs
@@ -3,11 +3,13 @@
 mod fit;
 mod measure;
 mod sample;
+mod size;
 
 fn main() {
     println!("| Slope | Unit | Points | Base | For each | R2 |");
     println!("| --- | --- | --- | --- | --- | --- |");
-    for slope in measure::all() {
+    let slopes = measure::all();
+    for slope in &slopes {
         let points: Vec<_> = slope
             .points
             .iter()
@@ -24,4 +26,5 @@
             fit.r2
         );
     }
+    size::print(&slopes);
 }
--- a/examples/capacity/measure.rs
+++ b/examples/capacity/measure.rs
@@ -173,6 +173,15 @@
                 chunks.map(|chunks| chunks.contents.values().map(json_bytes).fold(0.0, f64::max));
             sizes.unwrap_or(0.0)
         }),
+        slope("mean budget chunk by budgets", "bytes", &many, |n| {
+            let chunks = publish::divide(&sample::set(0, n)).unwrap_or_default();
+            let sizes: f64 = chunks.contents.values().map(json_bytes).sum();
+            sizes / chunks.contents.len().max(1) as f64
+        }),
+        slope("head by budgets", "bytes", &many, |n| {
+            let chunks = publish::divide(&sample::set(870, n)).unwrap_or_default();
+            json_bytes(&chunks.digests)
+        }),
         slope("heartbeat by prefixes", "bytes", &[0, 16, 64, 256], |n| {
             beat_message(n).len() as f64
         }),
--- a/src/coordination/fair_queue.rs
+++ b/src/coordination/fair_queue.rs
@@ -51,7 +51,7 @@
 
 impl Level {
     fn push(&mut self, wanted: &Wanted, ticket: u64) {
-        let step = 1.0 / f64::from(wanted.weight.max(1));
+        let step = step_of(wanted.weight);
         let clock = self.clock;
         let (kept, lane) = self.lanes.entry(wanted.workspace.clone()).or_default();
         *kept = step;
@@ -74,6 +74,23 @@
         lane.tickets.pop_front()
     }
 
+    /// Requests that run before one that joins its workspace's lane now.
+    fn before(&self, wanted: &Wanted) -> usize {
+        let step = step_of(wanted.weight);
+        let own = self.lanes.get(&wanted.workspace);
+        let own = own.map_or(0, |(_, lane)| lane.tickets.len());
+        let turns = (own + 1) as f64 * step;
+        let others = self
+            .lanes
+            .iter()
+            .filter(|(name, _)| **name != wanted.workspace);
+        let others = others.map(|(_, (step, lane))| {
+            let share = (turns / step).ceil() as usize;
+            lane.tickets.len().min(share)
+        });
+        own + others.sum::<usize>()
+    }
+
     fn waiting(&self) -> usize {
         self.lanes
             .values()
@@ -93,6 +110,11 @@
     }
 }
 
+/// Virtual time between two requests of a workspace.
+fn step_of(weight: u32) -> f64 {
+    1.0 / f64::from(weight.max(1))
+}
+
 /// Requests that run and that wait for the backend servers of one pool.
 #[derive(Debug, Default)]
 pub struct FairQueue {
@@ -129,7 +151,7 @@
             self.running += 1;
             return Entry::Run;
         }
-        let wait = self.expected_wait(wanted.priority);
+        let wait = self.expected_wait(wanted);
         let lane = self.levels.get(&wanted.priority);
         let lane = lane.and_then(|level| level.lanes.get(&wanted.workspace));
         let full = lane.is_some_and(|(_, lane)| lane.tickets.len() >= LANE_LIMIT);
@@ -163,10 +185,14 @@
         self.levels.values().map(Level::waiting).sum()
     }
 
-    /// Expected wait of a request that arrives now.
-    pub fn expected_wait(&self, priority: u8) -> Duration {
-        let ahead = (self.ahead(priority) + 1) as f64;
-        let rounds = ahead / self.capacity.max(1) as f64;
+    /// Expected wait of a request that arrives now: for all that runs before it, but not for what
+    /// other workspaces queue beyond their share.
+    pub fn expected_wait(&self, wanted: &Wanted) -> Duration {
+        let higher = self.levels.range(..wanted.priority);
+        let higher: usize = higher.map(|(_, level)| level.waiting()).sum();
+        let level = self.levels.get(&wanted.priority);
+        let same = level.map_or(0, |level| level.before(wanted));
+        let rounds = (higher + same + 1) as f64 / self.capacity.max(1) as f64;
         Duration::try_from_secs_f64(rounds * self.mean).unwrap_or(Duration::MAX)
     }
 
--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -19,7 +19,7 @@
 pub const WATCHERS_PER_REGION: usize = 3;
 
 /// Reports that one exchange carries at most.
-pub const REPORTS_PER_MESSAGE: usize = 16;
+pub const REPORTS_PER_MESSAGE: usize = 4;
 
 /// Age after which a report is not passed on.
 pub const REPORT_LIMIT: Duration = Duration::from_secs(3);
@@ -31,7 +31,7 @@
 pub const LEAST_BEAT_PERIOD: Duration = Duration::from_secs(1);
 
 /// Heartbeats that a router receives in a second, on average and at most.
-pub const BEATS_PER_SECOND: u32 = 20;
+pub const BEATS_PER_SECOND: u32 = 10;
 
 /// Least time between two reads of the list of VMs.
 pub const LEAST_LIST_PERIOD: Duration = Duration::from_secs(2);
--- a/src/router/exchange.rs
+++ b/src/router/exchange.rs
@@ -198,6 +198,7 @@
     let mut tried = Vec::new();
     let mut ran = false;
     let mut number = 0;
+    let mut failures = 0;
     loop {
         let Some(target) = find(router, req, &tried, call.deadline).await else {
             router.escrow.release(&req.budget, req.bound);
@@ -215,10 +216,13 @@
         };
         number += 1;
         ran |= outcome.ran;
-        if req.key.is_empty() || outcome.code != Code::Overloaded {
-            tried.push(vm);
+        let full = outcome.code == Code::Overloaded && !outcome.ran;
+        match full {
+            true => tried.clear(),
+            false => tried.push(vm),
         }
-        let again = may_retry(router, req, &pool, &outcome, number)
+        failures += u32::from(!full);
+        let again = (full || may_retry(router, req, &pool, &outcome, failures))
             && await_turn(router, &outcome, number, call.deadline).await;
         if !again {
             if !outcome.ran {
--- a/src/router/queue.rs
+++ b/src/router/queue.rs
@@ -17,9 +17,6 @@
     transport::timers,
 };
 
-/// Part of a pool's slots that one router may fill beyond what others report to use.
-const QUEUED_AHEAD: f64 = 1.25;
-
 /// Least time after which a refused caller is told to come back.
 const RETRY_FLOOR: Duration = Duration::from_secs(1);
 
@@ -139,6 +136,6 @@
     let rooms: u32 = roster.available(&req.services, now).map(room).sum();
     match rooms {
         0 => UNKNOWN_CAPACITY,
-        rooms => (f64::from(rooms) * QUEUED_AHEAD) as usize,
+        rooms => rooms as usize,
     }
 }
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -315,3 +315,30 @@
     assert_eq!(entries.iter().filter(waits).count(), 3, "{entries:?}");
     assert_eq!(entries[3], Entry::Refuse(Duration::from_secs(4)));
 }
+
+#[test]
+fn a_flood_does_not_lengthen_the_wait_of_another_workspace() {
+    let wanted = |workspace: &str| Wanted {
+        workspace: workspace.into(),
+        weight: 1,
+        priority: 0,
+        left: Duration::from_secs(10),
+    };
+    let mut queue = FairQueue::default();
+    queue.set_capacity(1);
+    assert_eq!(queue.enter(&wanted("flood")), Entry::Run);
+    queue.leave(Duration::from_secs(1));
+    assert_eq!(queue.enter(&wanted("flood")), Entry::Run);
+    for _ in 0..10 {
+        let entry = queue.enter(&wanted("flood"));
+        assert!(matches!(entry, Entry::Wait(_)), "{entry:?}");
+    }
+    let full = queue.enter(&wanted("flood"));
+    assert!(matches!(full, Entry::Refuse(_)), "{full:?}");
+    assert_eq!(
+        queue.expected_wait(&wanted("light")),
+        Duration::from_secs(2)
+    );
+    let light = queue.enter(&wanted("light"));
+    assert!(matches!(light, Entry::Wait(_)), "{light:?}");
+}
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -65,10 +65,6 @@
 }
 
 /// Lines of a list: a name, then the rest.
-fn listed(file: &str) -> BTreeMap<String, String> {
-    entries(&fs::read_to_string(format!("{DIR}/{file}")).unwrap_or_default())
-}
-
 fn entries(text: &str) -> BTreeMap<String, String> {
     let lines = text
         .lines()
