--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -37,7 +37,7 @@
 pub const LEAST_LIST_PERIOD: Duration = Duration::from_secs(2);
 
 /// Part of the time between two reads of the list that each VM on it adds.
-pub const LIST_PERIOD_PER_VM: Duration = Duration::from_millis(20);
+pub const LIST_PERIOD_PER_VM: Duration = Duration::from_millis(40);
 
 /// Heartbeats that an agent may miss before it is suspected.
 pub const MISSED_BEATS: u32 = 3;
@@ -47,7 +47,7 @@
 /// ```
 /// use std::time::Duration;
 /// use fulmarproxy::coordination::membership;
-/// assert_eq!(membership::beat_period(20, 4), Duration::from_secs(1));
+/// assert_eq!(membership::beat_period(12, 4), Duration::from_secs(1));
 /// assert!(membership::beat_period(12_000, 470) > Duration::from_secs(3));
 /// ```
 pub fn beat_period(agents: usize, routers: usize) -> Duration {
@@ -61,7 +61,7 @@
 /// ```
 /// use std::time::Duration;
 /// use fulmarproxy::coordination::membership;
-/// assert_eq!(membership::suspect_after(20, 4), Duration::from_secs(3));
+/// assert_eq!(membership::suspect_after(12, 4), Duration::from_secs(3));
 /// ```
 pub fn suspect_after(agents: usize, routers: usize) -> Duration {
     beat_period(agents, routers) * MISSED_BEATS
