Take no agent for gone that the list of VMs never named

Cause, found by reading: a recovery took a silent agent for gone when the lagging list did not name it, although it may only be new and still run work of a holder that was merely paused; its promise would have been skipped and tokens freed too early. Change: only a VM that the list named before counts as gone; suspicion of a router is as before, since it only starts a fence.

--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -1,7 +1,7 @@
 //! Who talks to whom, and which reports of members are still to be believed.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     time::Duration,
 };
 
@@ -286,3 +286,28 @@
         chosen.into_iter().cloned().collect()
     }
 }
+
+/// VMs that the platform's list has named; one that it never named may only be new.
+#[derive(Clone, Debug, Default)]
+pub struct Listed {
+    named: BTreeSet<name::Name>,
+}
+
+impl Listed {
+    /// Takes the names of one reading of the list.
+    pub fn note<'a>(&mut self, names: impl IntoIterator<Item = &'a name::Name>) {
+        self.named.extend(names.into_iter().cloned());
+    }
+
+    /// Whether the list has named a VM, so that one that it names no longer has gone.
+    ///
+    /// ```
+    /// let mut listed = fulmarproxy::coordination::membership::Listed::default();
+    /// assert!(!listed.has_named("backend-1"));
+    /// listed.note([&"backend-1".into()]);
+    /// assert!(listed.has_named("backend-1"));
+    /// ```
+    pub fn has_named(&self, name: &str) -> bool {
+        self.named.contains(name)
+    }
+}
--- a/src/router.rs
+++ b/src/router.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     code,
-    coordination::{crashes, ejection, escrow, retry, roster},
+    coordination::{crashes, ejection, escrow, membership, retry, roster},
     error,
     protocol::fleet_capnp,
     settings,
@@ -74,6 +74,7 @@
     config: RwLock<Arc<follow::InForce>>,
     roster: Mutex<roster::Roster>,
     peers: Mutex<Vec<name::Name>>,
+    listed: Mutex<membership::Listed>,
     fences: Mutex<fences::Fences>,
     escrow: escrow::Escrow,
     billing: billing::Billing,
@@ -112,6 +113,7 @@
             config: RwLock::default(),
             roster: Mutex::default(),
             peers: Mutex::default(),
+            listed: Mutex::default(),
             fences: Mutex::default(),
             escrow: escrow::Escrow::default(),
             billing: billing::Billing::default(),
--- a/src/router/recovery.rs
+++ b/src/router/recovery.rs
@@ -175,7 +175,7 @@
         None => {
             silent >= SILENT_LIMIT
                 || silent >= router.settings.drain && is_leaving(router, &record.member).await
-                || resolve::is_gone(router, &record.member, vm_list::VmRole::Router).await
+                || resolve::is_unlisted(router, &record.member, vm_list::VmRole::Router).await
         }
     }
 }
--- a/src/router/resolve.rs
+++ b/src/router/resolve.rs
@@ -178,8 +178,15 @@
     }
 }
 
-/// Whether the list of VMs no longer names a member.
-pub async fn is_gone(router: &Router, member: &member::Member, role: vm_list::VmRole) -> bool {
+/// Whether the list of VMs named a member before and does so no longer; a VM that it has not named
+/// yet may run all the same.
+async fn is_gone(router: &Router, member: &member::Member, role: vm_list::VmRole) -> bool {
+    let was_named = router.listed.lock().unwrap().has_named(&member.name);
+    was_named && is_unlisted(router, member, role).await
+}
+
+/// Whether the list of VMs does not name a member now.
+pub async fn is_unlisted(router: &Router, member: &member::Member, role: vm_list::VmRole) -> bool {
     let read = (router.vms.read)();
     let Some(Ok(vms)) = router.runtime.timers.within(LIMIT, read).await else {
         return false;
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -7,6 +7,7 @@
 use fulmarproxy::{
     agent,
     code::Code,
+    coordination::membership,
     protocol::vm_list,
     router::{self, ask, follow},
 };
@@ -148,3 +149,12 @@
     direct::wait_for("the cut to heal", || refusal(&second) == Code::BadKey);
     assert_eq!(second.readiness(), None);
 }
+
+#[test]
+fn a_vm_that_the_list_never_named_has_not_gone() {
+    let mut listed = membership::Listed::default();
+    listed.note([&"backend-1".into(), &"backend-2".into()]);
+    listed.note([&"backend-2".into()]);
+    assert!(listed.has_named("backend-1"));
+    assert!(!listed.has_named("backend-3"));
+}
