--- a/src/router.rs
+++ b/src/router.rs
@@ -38,8 +38,10 @@
 mod recovery;
 mod refill;
 mod registry;
+mod repeat;
 pub mod request;
 mod resolve;
+mod target;
 
 const IDLE_POLL: Duration = Duration::from_millis(50);
 
--- a/src/router/exchange.rs
+++ b/src/router/exchange.rs
@@ -9,33 +9,25 @@
 
 use crate::{
     code::Code,
-    coordination::{
-        balance,
-        claims::{self as claim_rules, Claimed},
-        crashes, rendezvous, retry, roster,
-    },
-    protocol::{messages, run},
+    coordination::{claims::Claimed, crashes, retry},
+    protocol::run,
     router::{
         Router, billing, claims, follow,
         pull::{Next, Pull},
-        queue, request, resolve,
+        queue, repeat, request, resolve, target,
     },
-    state::{member, name},
+    state::name,
     transport::timers,
 };
 
-const CHUNKS_TO_CALLER: usize = 32;
+/// Parts of an answer that may wait for the caller.
+pub const CHUNKS_TO_CALLER: usize = 32;
 
 /// Longest time that a caller may take for the next part of its answer.
 const CALLER_LIMIT: Duration = Duration::from_secs(30);
 
 /// When to come back if no backend server can take a request now.
-const BUSY_RETRY: Duration = Duration::from_secs(1);
-
-/// Longest wait for a backend server when none is available.
-const BACKEND_LIMIT: Duration = Duration::from_secs(3);
-
-const BACKEND_POLL: Duration = Duration::from_millis(100);
+pub const BUSY_RETRY: Duration = Duration::from_secs(1);
 
 /// Counts a request in flight while it lives.
 pub struct InFlight(Arc<Router>);
@@ -62,12 +54,6 @@
     pub end: async_channel::Receiver<run::RunOutcome>,
 }
 
-/// An agent that was chosen.
-struct Target {
-    member: member::Member,
-    service: name::Name,
-}
-
 /// Where the caller waits for its answer; closed when the caller is gone.
 type Caller = async_channel::Sender<Result<Answer, request::Refusal>>;
 
@@ -122,7 +108,7 @@
             Claimed::New => {}
             found => {
                 router.escrow.release(&req.budget, req.bound);
-                return claimed_before(router, req, found, deadline).await;
+                return repeat::answer(router, req, found, deadline).await;
             }
         }
     }
@@ -200,7 +186,7 @@
     let mut number = 0;
     let mut failures = 0;
     loop {
-        let Some(target) = find(router, req, &tried, call.deadline).await else {
+        let Some(target) = target::find(router, req, &tried, call.deadline).await else {
             router.escrow.release(&req.budget, req.bound);
             let mut refusal =
                 request::Refusal::not_run(Code::NoBackend, "no backend server is available");
@@ -242,33 +228,6 @@
     }
 }
 
-/// Chooses an agent; waits a little for one when all of them are down or have been silent.
-async fn find(
-    router: &Router,
-    req: &request::Request,
-    tried: &[name::Name],
-    deadline: timers::Now,
-) -> Option<Target> {
-    let timers = &router.runtime.timers;
-    let until = deadline.min(timers.now() + BACKEND_LIMIT);
-    loop {
-        if let Some(target) = choose(router, req, tried) {
-            return Some(target);
-        }
-        if timers.now() >= until || !knows_agents(router, req) {
-            return None;
-        }
-        timers.sleep(BACKEND_POLL).await;
-    }
-}
-
-fn knows_agents(router: &Router, req: &request::Request) -> bool {
-    let roster = router.roster.lock().unwrap();
-    roster
-        .all()
-        .any(|agent| req.services.contains(&agent.service) && !agent.load.draining)
-}
-
 fn may_retry(
     router: &Router,
     req: &request::Request,
@@ -327,72 +286,10 @@
     }
 }
 
-fn choose(router: &Router, req: &request::Request, tried: &[name::Name]) -> Option<Target> {
-    let now = router.runtime.timers.now();
-    let mut roster = router.roster.lock().unwrap();
-    let mut ejection = router.ejection.lock().unwrap();
-    let mut candidates: Vec<_> = roster.available(&req.services, now).collect();
-    candidates.retain(|agent| router.registry.admits(agent.member.incarnation));
-    let admitted: Vec<_> = candidates
-        .iter()
-        .filter(|agent| ejection.admits(&agent.member.name, now))
-        .copied()
-        .collect();
-    if !admitted.is_empty() {
-        candidates = admitted;
-    }
-    let wanted = balance::Wanted {
-        zone: &router.member.zone,
-        tried,
-        prefix: req.prefix,
-    };
-    let agent = match req.key.is_empty() {
-        true => balance::choose(&candidates, wanted, &mut router.runtime.rng())?,
-        false if req.must_claim() => home(&candidates, req, tried)?,
-        false => home(&with_leaving(&roster, candidates, req, now), req, tried)?,
-    };
-    let target = Target {
-        member: agent.member.clone(),
-        service: agent.service.clone(),
-    };
-    ejection.probe(&target.member.name, now);
-    roster.count(&target.member.name, 1);
-    Some(target)
-}
-
-/// Adds the agents that are leaving: the answer of an earlier request may run or be kept there.
-fn with_leaving<'a>(
-    roster: &'a roster::Roster,
-    mut agents: Vec<&'a roster::Agent>,
-    req: &request::Request,
-    now: timers::Now,
-) -> Vec<&'a roster::Agent> {
-    let leaving = roster.all().filter(|agent| {
-        roster.is_fresh(agent, now) && agent.load.draining && req.services.contains(&agent.service)
-    });
-    agents.extend(leaving);
-    agents
-}
-
-/// The agent where repeats of an idempotency key meet.
-fn home<'a>(
-    candidates: &[&'a roster::Agent],
-    req: &request::Request,
-    tried: &[name::Name],
-) -> Option<&'a roster::Agent> {
-    let hash = claim_rules::hash(&req.workspace, &req.key);
-    let names = candidates.iter().map(|agent| agent.member.name.clone());
-    let order = rendezvous::order(names.collect(), hash);
-    let untried = order.iter().find(|name| !tried.contains(name));
-    let chosen = untried.or(order.first())?;
-    let found = candidates.iter().find(|agent| agent.member.name == *chosen);
-    found.copied()
-}
-
 fn compose(
     router: &Router,
     req: &request::Request,
-    target: &Target,
+    target: &target::Target,
     attempt: u32,
     left: timers::Now,
     solo: bool,
@@ -428,7 +325,7 @@
     router: &Arc<Router>,
     req: &request::Request,
     call: &Call<'_>,
-    target: Target,
+    target: target::Target,
     message: run::RunRequest,
 ) -> Begun {
     let solo = message.solo;
@@ -476,7 +373,7 @@
 }
 
 /// An answer with no bytes.
-fn empty(outcome: run::RunOutcome) -> Answer {
+pub fn empty(outcome: run::RunOutcome) -> Answer {
     let (end_tx, end) = async_channel::bounded(1);
     let _ = end_tx.try_send(outcome);
     let (_, chunks) = async_channel::bounded(1);
@@ -487,7 +384,7 @@
 fn ended(
     router: &Arc<Router>,
     req: &request::Request,
-    target: &Target,
+    target: &target::Target,
     outcome: &run::RunOutcome,
     solo: bool,
 ) {
@@ -520,7 +417,7 @@
 fn relay(
     router: Arc<Router>,
     req: &request::Request,
-    target: Target,
+    target: target::Target,
     mut pull: Pull,
     first: Vec<u8>,
     solo: bool,
@@ -572,87 +469,13 @@
     pull.end().await
 }
 
-/// Answers a repeat of a claimed call: never by running it, but from a kept answer if there is one.
-async fn claimed_before(
-    router: &Arc<Router>,
-    req: &request::Request,
-    found: Claimed,
-    deadline: timers::Now,
-) -> Result<Answer, request::Refusal> {
-    let claim = match found {
-        Claimed::Before(claim) => claim,
-        Claimed::Refused(code) => return Err(claim_refusal(code, req)),
-        Claimed::New => unreachable!("a new claim is dispatched"),
-    };
-    let agent = {
-        let now = router.runtime.timers.now();
-        let roster = router.roster.lock().unwrap();
-        let known: Vec<_> = roster.available(&req.services, now).collect();
-        home(&with_leaving(&roster, known, req, now), req, &[]).map(|agent| agent.member.clone())
-    };
-    if let Some(agent) = agent {
-        let resume = messages::Resume {
-            agent: agent.incarnation,
-            id: claim.id.clone(),
-            offset: 0,
-            holder: router.member.incarnation,
-        };
-        let attempt = (router.fleet.resume)(agent.address.clone(), resume);
-        let mut pull = Pull::new(router.clone(), agent, claim.id.clone(), attempt, deadline);
-        match pull.next().await {
-            Next::Chunk(first) => return Ok(replay(router.clone(), pull, first)),
-            Next::End(outcome) if outcome.code == Code::Ok => return Ok(empty(outcome)),
-            Next::End(_) => {}
-        }
-    }
-    let known = claim.outcome.and_then(Code::from_number);
-    let outcome = known.map_or("is not known".to_owned(), |code| format!("was {code}"));
-    let message = format!("the call was claimed before and its outcome {outcome}");
-    let mut refusal = request::Refusal::not_run(Code::AlreadyClaimed, message);
-    refusal.may_have_run = true;
-    Err(refusal)
-}
-
-fn claim_refusal(code: Code, req: &request::Request) -> request::Refusal {
-    let message = match code {
-        Code::KeyReused => format!("key {:?} came with another body", req.key),
-        Code::KeyExpired => format!("key {:?} is past its retention", req.key),
-        _ => "the call could not be claimed in the store".to_owned(),
-    };
-    let mut refusal = request::Refusal::not_run(code, message);
-    refusal.may_have_run = code == Code::KeyExpired;
-    match code {
-        Code::ClaimUnavailable => refusal.retry_after(BUSY_RETRY),
-        _ => refusal,
-    }
-}
-
-/// Sends a kept answer again; it costs nothing.
-fn replay(router: Arc<Router>, mut pull: Pull, first: Vec<u8>) -> Answer {
-    let (tx, chunks) = async_channel::bounded(CHUNKS_TO_CALLER);
-    let (end_tx, end) = async_channel::bounded(1);
-    let runtime = router.runtime.clone();
-    runtime.spawn(async move {
-        let _in_flight = InFlight::new(&router);
-        let mut next = Next::Chunk(first);
-        let outcome = loop {
-            let chunk = match next {
-                Next::Chunk(chunk) => chunk,
-                Next::End(outcome) => break outcome,
-            };
-            if tx.send(chunk).await.is_err() {
-                return;
-            }
-            next = pull.next().await;
-        };
-        drop(tx);
-        let _ = end_tx.send(outcome).await;
-    });
-    Answer { chunks, end }
-}
-
 /// Counts the charge of an attempt; without a receipt the reservation stays.
-fn settle(router: &Router, req: &request::Request, target: &Target, outcome: &run::RunOutcome) {
+fn settle(
+    router: &Router,
+    req: &request::Request,
+    target: &target::Target,
+    outcome: &run::RunOutcome,
+) {
     if let Some(receipt) = &outcome.receipt {
         router.escrow.settle(target.member.incarnation, receipt);
         router.escrow.release(&req.budget, req.bound);
