--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -2,7 +2,7 @@
 
 use std::process::ExitCode;
 
-use crate::{agent, error, logging, router, settings};
+use crate::{agent, error, flags, gateway, logging, platform, router, settings};
 
 const EXIT_USAGE: u8 = 2;
 
@@ -13,6 +13,9 @@
 /// assert_eq!(code, std::process::ExitCode::SUCCESS);
 /// ```
 pub fn main(args: &[String]) -> ExitCode {
+    if args.first().is_some_and(|role| role == "gateway") {
+        return run_gateway(&args[1..]);
+    }
     match settings::parse(args, &|name| std::env::var(name).ok()) {
         Ok(settings::Command::Print(text)) => {
             print!("{text}");
@@ -30,6 +33,61 @@
     }
 }
 
+const GATEWAY_FLAGS: &[flags::Flag] = &[
+    flags::value(
+        "settings",
+        "PATH",
+        "The platform's settings file; usually it names it itself",
+    ),
+    flags::value(
+        "log",
+        "LEVEL",
+        "Least severe messages that are logged, info unless given",
+    ),
+    flags::switch("check-settings", "Check the settings file and exit"),
+];
+
+fn run_gateway(args: &[String]) -> ExitCode {
+    match gateway_main(args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("fulmard: {err}.");
+            match err {
+                error::Error::CommandLine(_)
+                | error::Error::Argument { .. }
+                | error::Error::Setting { .. }
+                | error::Error::SettingsFile { .. } => ExitCode::from(EXIT_USAGE),
+                _ => ExitCode::FAILURE,
+            }
+        }
+    }
+}
+
+fn gateway_main(args: &[String]) -> Result<(), error::Error> {
+    let matches = flags::parse(GATEWAY_FLAGS, args)?;
+    if matches.opt_present("help") {
+        print!(
+            "Usage: fulmard gateway [FLAGS]\n\n{}",
+            flags::help(GATEWAY_FLAGS)
+        );
+        return Ok(());
+    }
+    let variable = platform::settings::PATH_VARIABLE;
+    let path = matches
+        .opt_str("settings")
+        .or_else(|| std::env::var(variable).ok());
+    let path = path.ok_or_else(|| error::Error::Argument {
+        message: format!("--settings is missing, and so is the variable {variable}"),
+    })?;
+    if matches.opt_present("check-settings") {
+        platform::settings::read(&path)?;
+        println!("The settings are valid.");
+        return Ok(());
+    }
+    let log = matches.opt_str("log").unwrap_or_else(|| "info".to_owned());
+    gateway::run(&path, &log)
+}
+
 fn run(settings: settings::Settings) -> ExitCode {
     logging::start(&settings.log, settings.log_json);
     match smol::block_on(serve(settings)) {
--- a/src/error.rs
+++ b/src/error.rs
@@ -33,6 +33,14 @@
         /// Cause.
         source: std::io::Error,
     },
+    /// A settings file does not parse.
+    #[display("settings file {path} does not parse: {source}")]
+    SettingsFile {
+        /// Path of the file.
+        path: String,
+        /// Cause, with its line.
+        source: Box<toml::de::Error>,
+    },
     /// The set of objects has errors.
     #[display("the set of objects has {count} errors")]
     Objects {
--- /dev/null
+++ b/src/gateway.rs
@@ -0,0 +1,60 @@
+//! The gateway: a router that sends callers' requests straight to backend servers.
+//!
+//! The platform's store holds the configuration, the list of backend servers and the ledgers of
+//! budgets. Modules, each using only those after it: [`front`], [`request`], [`relay`],
+//! [`exchange`], [`budget`], [`directory`], [`follow`], [`fleet`], [`core`].
+
+use std::rc::Rc;
+
+use crate::{error, logging, platform, transport::admin};
+
+pub mod budget;
+pub mod core;
+pub mod directory;
+pub mod exchange;
+pub mod fleet;
+pub mod follow;
+pub mod front;
+pub mod pages;
+pub mod refusal;
+pub mod relay;
+pub mod request;
+mod signals;
+
+/// Runs a gateway with the settings file at `path` until it is told to stop.
+///
+/// # Errors
+///
+/// An error that names the setting, file or socket that failed.
+pub fn run(path: &str, log: &str) -> Result<(), error::Error> {
+    let settings = platform::settings::read(path)?;
+    let _writer = logging::start_bounded(log);
+    let recorder = admin::install_recorder()?;
+    let executor = Rc::new(smol::LocalExecutor::new());
+    let gateway = core::Gateway::new(settings, executor.clone());
+    smol::block_on(executor.run(serve(gateway, path, recorder)))
+}
+
+async fn serve(
+    gw: Rc<core::Gateway>,
+    path: &str,
+    recorder: metrics_exporter_prometheus::PrometheusHandle,
+) -> Result<(), error::Error> {
+    let signals = signals::listen()?;
+    let settings = gw.settings();
+    let listener = front::bind(settings.listen).await?;
+    pages::start(&gw, recorder).await?;
+    follow::start(&gw);
+    directory::start(&gw);
+    fleet::start(&gw);
+    budget::start(&gw);
+    front::start(&gw, listener);
+    let vm = &settings.vm;
+    tracing::info!(%vm, incarnation = gw.incarnation, "gateway: started");
+    signals::obey(&gw, path, &signals).await;
+    front::drain(&gw).await;
+    budget::close(&gw).await;
+    fleet::leave(&gw).await;
+    tracing::info!(%vm, "gateway: stopped");
+    Ok(())
+}
--- /dev/null
+++ b/src/gateway/core.rs
@@ -0,0 +1,158 @@
+//! What the parts of a gateway share. One thread runs them all, so cells take the place of locks;
+//! no borrow is held across an await.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use crate::{
+    coordination::{crashes, ejection, placing, repeats, share},
+    platform,
+    state::{deployment, name, server},
+    transport::{h1::pool, timers},
+};
+
+/// Backend servers as this router knows them.
+#[derive(Default)]
+pub struct Known {
+    /// Servers by id.
+    pub servers: HashMap<name::Name, Arc<server::Server>>,
+    /// Whether the list was ever read.
+    pub is_read: bool,
+}
+
+/// Everything that the parts of a gateway share.
+pub struct Gateway {
+    settings: RefCell<platform::settings::Settings>,
+    /// Number of this start of the process.
+    pub incarnation: u64,
+    /// Clock.
+    pub timers: timers::Timers,
+    /// Client of the platform's store.
+    pub store: platform::store::Store,
+    /// Configuration in force; `None` before the first.
+    pub deployment: RefCell<Option<Arc<deployment::Deployment>>>,
+    /// Backend servers.
+    pub known: RefCell<Known>,
+    /// Where requests run.
+    pub placing: RefCell<placing::Placing>,
+    /// Backend servers that fail.
+    pub ejection: RefCell<ejection::Ejection>,
+    /// Repeats that are left.
+    pub repeats: RefCell<repeats::Repeats>,
+    /// Requests that crash backend servers.
+    pub crashes: RefCell<crashes::Crashes>,
+    /// Shares of budgets, by workspace.
+    pub shares: RefCell<HashMap<name::Name, share::Share>>,
+    /// Idle connections to backend servers.
+    pub pool: RefCell<pool::Pool>,
+    /// Other routers: address of their fleet listener by `vm/incarnation`.
+    pub peers: RefCell<HashMap<String, std::net::SocketAddr>>,
+    /// Requests that are being answered.
+    pub in_flight: Cell<usize>,
+    /// Whether the process is to stop.
+    pub is_leaving: Cell<bool>,
+    /// Wakes the task that fills shares.
+    pub refill: (async_channel::Sender<()>, async_channel::Receiver<()>),
+    /// Wakes requests that wait for tokens.
+    pub refilled: event_listener::Event,
+    /// Tells idle connections that the process is to stop.
+    pub leaving: event_listener::Event,
+    executor: Rc<smol::LocalExecutor<'static>>,
+}
+
+impl Gateway {
+    /// Puts a gateway together.
+    pub fn new(
+        settings: platform::settings::Settings,
+        executor: Rc<smol::LocalExecutor<'static>>,
+    ) -> Rc<Self> {
+        let timers = timers::Timers::default();
+        let store = platform::store::Store::new(settings.store, timers.clone());
+        Rc::new(Self {
+            settings: RefCell::new(settings),
+            incarnation: fastrand::u64(1..),
+            timers,
+            store,
+            deployment: RefCell::default(),
+            known: RefCell::default(),
+            placing: RefCell::default(),
+            ejection: RefCell::default(),
+            repeats: RefCell::default(),
+            crashes: RefCell::default(),
+            shares: RefCell::default(),
+            pool: RefCell::default(),
+            peers: RefCell::default(),
+            in_flight: Cell::new(0),
+            is_leaving: Cell::new(false),
+            refill: async_channel::bounded(1),
+            refilled: event_listener::Event::new(),
+            leaving: event_listener::Event::new(),
+            executor,
+        })
+    }
+
+    /// Settings as they are now.
+    pub fn settings(&self) -> platform::settings::Settings {
+        self.settings.borrow().clone()
+    }
+
+    /// Takes changed settings.
+    pub fn reload(&self, settings: platform::settings::Settings) {
+        self.store.move_to(settings.store);
+        *self.settings.borrow_mut() = settings;
+    }
+
+    /// Time since the process began.
+    pub fn now(&self) -> Duration {
+        self.timers.now()
+    }
+
+    /// Starts a task.
+    pub fn spawn(&self, task: impl Future<Output = ()> + 'static) {
+        self.executor.spawn(task).detach();
+    }
+
+    /// Configuration in force.
+    pub fn deployment(&self) -> Option<Arc<deployment::Deployment>> {
+        self.deployment.borrow().clone()
+    }
+
+    /// Name of this start of the process among the holders of budgets.
+    pub fn holder(&self) -> String {
+        format!("{}/{:x}", self.settings.borrow().vm, self.incarnation)
+    }
+
+    /// Routers of the fleet, this one included.
+    pub fn routers(&self) -> usize {
+        self.peers.borrow().len() + 1
+    }
+
+    /// The fleet's allowance of repeats.
+    pub fn allowance(&self) -> repeats::Allowance {
+        let settings = self.settings.borrow();
+        repeats::Allowance {
+            window: settings.repeat_window,
+            per_request: settings.repeats_per_request,
+            slack: settings.repeat_slack,
+        }
+    }
+
+    /// Tells why the process takes no callers; `None` when it does.
+    pub fn unready(&self) -> Option<&'static str> {
+        if self.is_leaving.get() {
+            return Some("leaving");
+        }
+        if self.deployment.borrow().is_none() {
+            return Some("no configuration");
+        }
+        if !self.known.borrow().is_read {
+            return Some("no list of backend servers");
+        }
+        None
+    }
+}
--- /dev/null
+++ b/src/gateway/directory.rs
@@ -0,0 +1,155 @@
+//! Follows the list of backend servers in the store.
+
+use std::{collections::HashSet, rc::Rc, sync::Arc, time::Duration};
+
+use metrics::{counter, gauge};
+
+use crate::{
+    gateway::core,
+    platform::{servers, store},
+    state::{name, server},
+};
+
+/// Wait of one watch; see the configuration's.
+const WATCH: Duration = Duration::from_secs(20);
+
+/// Pause after a failed call.
+const PAUSE: Duration = Duration::from_millis(250);
+
+/// Time after the store's return in which entries that lapsed meanwhile come back. The platform
+/// names two seconds.
+const RETURN: Duration = Duration::from_millis(2000);
+
+/// Starts following.
+pub fn start(gw: &Rc<core::Gateway>) {
+    let following = gw.clone();
+    gw.spawn(async move {
+        let mut lost = false;
+        loop {
+            let Err(err) = follow(&following, &mut lost).await else {
+                continue;
+            };
+            lost = true;
+            counter!("fulmar_gateway_store_failures_total", "part" => "directory").increment(1);
+            tracing::warn!(%err, "directory: the store is out of reach");
+            following.timers.sleep(PAUSE).await;
+        }
+    });
+}
+
+/// Reads the list and follows its changes; `lost` tells that the store was out of reach.
+async fn follow(gw: &Rc<core::Gateway>, lost: &mut bool) -> Result<(), store::StoreError> {
+    let read = gw.store.range(servers::PREFIX, false).await?;
+    let forgiven_until = match std::mem::take(lost) {
+        true => gw.now() + RETURN,
+        false => Duration::ZERO,
+    };
+    replace(gw, &read.items, forgiven_until);
+    let mut after = read.store_revision;
+    loop {
+        let watched = gw.store.watch(servers::PREFIX, after, WATCH).await?;
+        let store::Watched::Changes(changes, revision) = watched else {
+            tracing::info!(after, "directory: history lost, reading it anew");
+            return Ok(());
+        };
+        for change in changes {
+            match change {
+                store::Change::Written(item) => put(gw, &item),
+                store::Change::Removed(key) => missing(gw, &key, forgiven_until),
+            }
+        }
+        after = revision;
+    }
+}
+
+/// Takes a whole list; servers that it lacks are gone, or forgiven until a time.
+fn replace(gw: &Rc<core::Gateway>, items: &[store::Item], forgiven_until: Duration) {
+    let listed: HashSet<&str> = items.iter().map(|item| item.key.as_str()).collect();
+    let known: Vec<_> = gw.known.borrow().servers.keys().cloned().collect();
+    let keys = known.iter().map(|id| format!("{}{id}", servers::PREFIX));
+    for key in keys.filter(|key| !listed.contains(key.as_str())) {
+        missing(gw, &key, forgiven_until);
+    }
+    for item in items {
+        put(gw, item);
+    }
+    gw.known.borrow_mut().is_read = true;
+}
+
+fn put(gw: &core::Gateway, item: &store::Item) {
+    let Some(found) = servers::decode(&item.key, &item.value) else {
+        // The last entry that could be read holds.
+        tracing::warn!(key = item.key, "directory: entry not readable, ignored");
+        return;
+    };
+    let mut known = gw.known.borrow_mut();
+    if known
+        .servers
+        .get(&found.id)
+        .is_some_and(|held| **held == found)
+    {
+        return;
+    }
+    let server::Server {
+        id,
+        service,
+        address,
+        takes_work,
+        ..
+    } = &found;
+    tracing::info!(%id, %service, %address, takes_work, "directory: backend server listed");
+    known.servers.insert(found.id.clone(), Arc::new(found));
+    gauge!("fulmar_gateway_servers").set(known.servers.len() as f64);
+}
+
+fn missing(gw: &Rc<core::Gateway>, key: &str, forgiven_until: Duration) {
+    let Some(id) = key.strip_prefix(servers::PREFIX) else {
+        return;
+    };
+    let wait = forgiven_until.saturating_sub(gw.now());
+    if wait.is_zero() {
+        remove(gw, id);
+        return;
+    }
+    let id = name::Name::from(id);
+    tracing::info!(%id, "directory: entry lapsed while the store was away, kept for a while");
+    let held = gw.known.borrow().servers.get(&id).cloned();
+    let waiting = gw.clone();
+    gw.spawn(async move {
+        waiting.timers.sleep(wait).await;
+        // An entry that was written again is another one.
+        let now = waiting.known.borrow().servers.get(&id).cloned();
+        let same = matches!((&held, &now), (Some(a), Some(b)) if Arc::ptr_eq(a, b));
+        if same && !is_listed(&waiting, &id).await {
+            remove(&waiting, &id);
+        }
+    });
+}
+
+/// Whether the store lists a server now; while it cannot tell, the server counts as listed.
+async fn is_listed(gw: &core::Gateway, id: &str) -> bool {
+    let key = format!("{}{id}", servers::PREFIX);
+    match gw.store.get(&key).await {
+        Ok(item) => item.revision > 0,
+        Err(err) => {
+            tracing::warn!(%err, id, "directory: cannot tell whether an entry is back");
+            true
+        }
+    }
+}
+
+fn remove(gw: &core::Gateway, id: &str) {
+    let mut known = gw.known.borrow_mut();
+    if known.servers.remove(id).is_some() {
+        tracing::info!(id, "directory: backend server gone");
+        gauge!("fulmar_gateway_servers").set(known.servers.len() as f64);
+    }
+}
+
+/// Servers of a service that take new work.
+pub fn ready(gw: &core::Gateway, service: &str) -> Vec<Arc<server::Server>> {
+    let known = gw.known.borrow();
+    let servers = known.servers.values();
+    let ready = servers.filter(|server| server.takes_work && &*server.service == service);
+    ready.cloned().collect()
+}
--- /dev/null
+++ b/src/gateway/fleet.rs
@@ -0,0 +1,85 @@
+//! The routers of the fleet: each keeps an entry under a lease in the store.
+
+use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+
+use metrics::{counter, gauge};
+
+use crate::{gateway::core, platform::store};
+
+/// Prefix of the routers' entries.
+pub const PREFIX: &str = "fulmar/routers/";
+
+/// Lease of an entry: long enough to outlast usual outages of the store.
+const LEASE: Duration = Duration::from_secs(20);
+
+/// How often the lease is renewed and the list is read.
+const RENEW_EVERY: Duration = Duration::from_secs(5);
+
+/// First rounds come faster, since all routers start together.
+const FIRST_ROUNDS: [Duration; 2] = [Duration::from_millis(700), Duration::from_millis(1500)];
+
+/// Starts keeping this router's entry and following the others'.
+pub fn start(gw: &Rc<core::Gateway>) {
+    let keeping = gw.clone();
+    gw.spawn(async move {
+        let mut lease = None;
+        let mut rounds = FIRST_ROUNDS.into_iter();
+        loop {
+            if let Err(err) = renew(&keeping, &mut lease).await {
+                counter!("fulmar_gateway_store_failures_total", "part" => "fleet").increment(1);
+                tracing::warn!(%err, "fleet: the entry was not renewed");
+            }
+            let wait = rounds.next().unwrap_or(RENEW_EVERY);
+            keeping.timers.sleep(wait).await;
+        }
+    });
+}
+
+async fn renew(gw: &core::Gateway, lease: &mut Option<u64>) -> Result<(), store::StoreError> {
+    if let Some(id) = *lease
+        && !gw.store.keep(id).await?
+    {
+        tracing::warn!(lease = id, "fleet: lease lost");
+        *lease = None;
+    }
+    if lease.is_none() {
+        *lease = join(gw).await?;
+    }
+    let read = gw.store.range(PREFIX, true).await?;
+    let own = format!("{PREFIX}{}", gw.holder());
+    let others = read.items.iter().filter(|item| item.key != own);
+    let peers: HashMap<String, SocketAddr> = others.filter_map(decode).collect();
+    gauge!("fulmar_gateway_peers").set(peers.len() as f64);
+    *gw.peers.borrow_mut() = peers;
+    Ok(())
+}
+
+async fn join(gw: &core::Gateway) -> Result<Option<u64>, store::StoreError> {
+    let lease = gw.store.lease(LEASE).await?;
+    let key = format!("{PREFIX}{}", gw.holder());
+    let value = gw.settings().fleet_listen.to_string();
+    let write = store::Write {
+        puts: vec![(key, value.into_bytes())],
+        lease: lease.id,
+        ..store::Write::default()
+    };
+    let written = gw.store.write(&write).await?;
+    Ok((written == store::Written::Done).then_some(lease.id))
+}
+
+fn decode(item: &store::Item) -> Option<(String, SocketAddr)> {
+    let holder = item.key.strip_prefix(PREFIX)?;
+    let address = std::str::from_utf8(&item.value).ok()?.parse().ok()?;
+    Some((holder.to_owned(), address))
+}
+
+/// Takes this router's entry away.
+pub async fn leave(gw: &core::Gateway) {
+    let write = store::Write {
+        removes: vec![format!("{PREFIX}{}", gw.holder())],
+        ..store::Write::default()
+    };
+    if let Err(err) = gw.store.write(&write).await {
+        tracing::warn!(%err, "fleet: the entry is left to its lease");
+    }
+}
--- /dev/null
+++ b/src/gateway/pages.rs
@@ -0,0 +1,76 @@
+//! Readiness for the platform, and metrics for operators.
+
+use std::{net::SocketAddr, rc::Rc};
+
+use metrics_exporter_prometheus::PrometheusHandle;
+
+use crate::{
+    error,
+    gateway::{core, refusal},
+    platform::callers,
+    transport::h1::{conn, head},
+};
+
+/// Most bytes of a request's head here.
+const MAX_HEAD_BYTES: usize = 16 * 1024;
+
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
+/// Starts the listeners for readiness and for metrics.
+///
+/// # Errors
+///
+/// The socket's error.
+pub async fn start(gw: &Rc<core::Gateway>, recorder: PrometheusHandle) -> Result<(), error::Error> {
+    let settings = gw.settings();
+    let recorder = Rc::new(recorder);
+    for address in [settings.ready_listen, settings.admin_listen] {
+        listen(gw, address, recorder.clone()).await?;
+    }
+    Ok(())
+}
+
+async fn listen(
+    gw: &Rc<core::Gateway>,
+    address: SocketAddr,
+    recorder: Rc<PrometheusHandle>,
+) -> Result<(), error::Error> {
+    let listener = async_net::TcpListener::bind(address).await?;
+    let accepting = gw.clone();
+    gw.spawn(async move {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                continue;
+            };
+            let serving = accepting.clone();
+            let recorder = recorder.clone();
+            accepting.spawn(async move { serve(&serving, stream, &recorder).await });
+        }
+    });
+    Ok(())
+}
+
+async fn serve(gw: &core::Gateway, stream: async_net::TcpStream, recorder: &PrometheusHandle) {
+    let mut conn = conn::Conn::new(stream);
+    while let Ok(Some(req)) = head::read_request(&mut conn, MAX_HEAD_BYTES).await {
+        let bytes = answer(gw, &req, recorder);
+        if conn.write(&bytes).await.is_err() {
+            return;
+        }
+    }
+}
+
+fn answer(gw: &core::Gateway, req: &head::RequestHead, recorder: &PrometheusHandle) -> Vec<u8> {
+    let mut headers = head::Headers::default();
+    headers.push("Content-Type", b"text/plain");
+    let (status, body) = match req.target.as_str() {
+        callers::READINESS_PATH => match gw.unready() {
+            None => (200, "ready\n".to_owned()),
+            Some(reason) => (503, format!("not ready: {reason}\n")),
+        },
+        METRICS_PATH => (200, recorder.render()),
+        _ => (404, "no such page\n".to_owned()),
+    };
+    refusal::answer_bytes(status, &headers, Some(body.as_bytes()), false)
+}
--- /dev/null
+++ b/src/gateway/request.rs
@@ -0,0 +1,475 @@
+//! The way of one request: guards, budget, choice of a server, attempts, answer.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use futures::future;
+use metrics::{counter, histogram};
+
+use crate::{
+    code::Code,
+    gateway::{
+        budget, core, directory,
+        exchange::{self, Outgoing},
+        refusal::Refusal,
+        relay,
+    },
+    platform::headers,
+    state::{deployment, server},
+    transport::h1::{conn, fault, head},
+};
+
+/// Time past a route's timeout at which a request is ended: a server's own answer at its deadline
+/// still comes through, and the platform allows half a second.
+const TIMEOUT_SLACK: Duration = Duration::from_millis(150);
+
+/// Time after which a caller may come back when no server could be used: about two rounds of the
+/// list of servers.
+const COME_BACK: Duration = Duration::from_millis(300);
+
+/// Extra sends of a request that certainly did not run anywhere yet.
+const EXTRA_SENDS: u32 = 2;
+
+/// How a request ended, for the caller's connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// It was answered; the connection may go on.
+    Answered,
+    /// The connection must close.
+    Broken,
+}
+
+/// A request that passed the guards.
+struct Admitted {
+    out: Outgoing,
+    route: Arc<deployment::Route>,
+    service: Arc<deployment::Service>,
+    part: Option<u64>,
+    need: headers::TokenNeed,
+    received: Duration,
+    deadline: Option<Duration>,
+}
+
+impl Admitted {
+    /// Time at which the request is ended.
+    fn end(&self) -> Duration {
+        self.received + self.route.timeout + TIMEOUT_SLACK
+    }
+
+    /// Time that the server has, from now.
+    fn left(&self, now: Duration) -> Duration {
+        let spent = now.saturating_sub(self.received);
+        let timeout = self.route.timeout.saturating_sub(spent);
+        match self.deadline {
+            Some(deadline) => timeout.min(deadline.saturating_sub(spent)),
+            None => timeout,
+        }
+    }
+}
+
+/// Answers one request.
+pub async fn serve(
+    gw: &Rc<core::Gateway>,
+    caller: &mut conn::Conn,
+    head: head::RequestHead,
+    body: Vec<u8>,
+) -> Ended {
+    let received = gw.now();
+    let id = head
+        .headers
+        .text(headers::REQUEST_ID)
+        .unwrap_or_default()
+        .to_owned();
+    let close = closes(gw, &head);
+    let gone = conn::closed(caller.socket());
+    let outcome = {
+        let work = std::pin::pin!(answer(gw, caller, head, body, received, close));
+        let gone = std::pin::pin!(gone);
+        match future::select(work, gone).await {
+            future::Either::Left((outcome, _)) => Some(outcome),
+            future::Either::Right(((), _)) => None,
+        }
+    };
+    let took = gw.now() - received;
+    let millis = took.as_millis() as u64;
+    match outcome {
+        None => {
+            counter!("fulmar_gateway_requests_total", "outcome" => "caller_gone").increment(1);
+            tracing::info!(id, millis, "request: cancelled, the caller left");
+            Ended::Broken
+        }
+        Some(Ok(())) => {
+            histogram!("fulmar_gateway_request_seconds").record(took.as_secs_f64());
+            match close {
+                true => Ended::Broken,
+                false => Ended::Answered,
+            }
+        }
+        Some(Err(Stop::Refuse(refusal))) => {
+            let outcome = refusal.code.to_string();
+            counter!("fulmar_gateway_requests_total", "outcome" => outcome).increment(1);
+            let Refusal {
+                code,
+                status,
+                message,
+                ..
+            } = &refusal;
+            tracing::info!(id, %code, status, millis, message, "request: refused or failed");
+            match caller.write(&refusal.bytes(&id, close)).await {
+                Ok(()) if !close => Ended::Answered,
+                _ => Ended::Broken,
+            }
+        }
+        Some(Err(Stop::Broken(cause))) => {
+            counter!("fulmar_gateway_requests_total", "outcome" => "broken").increment(1);
+            tracing::info!(id, millis, cause, "request: broken off");
+            Ended::Broken
+        }
+    }
+}
+
+/// Whether the connection closes after this answer.
+pub fn closes(gw: &core::Gateway, head: &head::RequestHead) -> bool {
+    gw.is_leaving.get() || !head.is_1_1 || head.headers.has_word("Connection", "close")
+}
+
+/// Why a request got no answer of a server.
+enum Stop {
+    /// The gateway answers itself.
+    Refuse(Refusal),
+    /// A part of the answer is out; only the end of the connection can tell that it is not whole.
+    Broken(String),
+}
+
+impl From<Refusal> for Stop {
+    fn from(refusal: Refusal) -> Self {
+        Self::Refuse(refusal)
+    }
+}
+
+async fn answer(
+    gw: &Rc<core::Gateway>,
+    caller: &mut conn::Conn,
+    head: head::RequestHead,
+    body: Vec<u8>,
+    received: Duration,
+    close: bool,
+) -> Result<(), Stop> {
+    let req = admit(gw, head, body, received)?;
+    let mut reservation = set_aside(gw, &req).await?;
+    let limit = req.end().saturating_sub(gw.now());
+    let mut stream = relay::Stream::default();
+    let mut may_have_run = false;
+    let work = attempts(gw, caller, &req, &mut stream, &mut may_have_run, close);
+    let done = gw.timers.within(limit, work).await;
+    if let Some(reservation) = &mut reservation {
+        // Input counts once a request that may have run, output as it was passed on.
+        let per_event = req
+            .service
+            .engine
+            .as_ref()
+            .map_or(1, |engine| engine.tokens_per_event);
+        let input = if may_have_run { req.need.input } else { 0 };
+        reservation.spend(input + stream.events * per_event);
+    }
+    match done {
+        Some(done) => done,
+        None if stream.is_begun => Err(Stop::Broken("the route's timeout passed".to_owned())),
+        None if may_have_run => {
+            let message = "the route's timeout passed";
+            Err(Refusal::new(Code::DeadlinePassed, message).into())
+        }
+        None => Err(Refusal::new(Code::Overloaded, "no backend server in time").into()),
+    }
+}
+
+/// Guards: configuration, route, key, fields.
+fn admit(
+    gw: &core::Gateway,
+    head: head::RequestHead,
+    body: Vec<u8>,
+    received: Duration,
+) -> Result<Admitted, Refusal> {
+    let deployment = gw.deployment().ok_or_else(|| {
+        Refusal::new(Code::NotReady, "no configuration yet").retry_after(COME_BACK)
+    })?;
+    let host = head
+        .headers
+        .text("Host")
+        .unwrap_or_default()
+        .to_ascii_lowercase();
+    let name = host.split(':').next().unwrap_or_default();
+    let path = head.target.split('?').next().unwrap_or_default();
+    let route = deployment
+        .route(&host, path)
+        .or_else(|| deployment.route(name, path));
+    let route = route.ok_or_else(|| Refusal::new(Code::UnknownRoute, "no route of that path"))?;
+    let mut workspace = None;
+    if !deployment.workspaces.is_empty() && !route.is_public {
+        let key = headers::api_key(&head.headers);
+        let found = key.and_then(|key| deployment.keys.get(key));
+        let found = found.ok_or_else(|| Refusal::new(Code::BadKey, "the key is unknown"))?;
+        workspace = Some(found.clone());
+    }
+    let service = pick_service(&deployment, route).ok_or_else(|| {
+        Refusal::new(Code::NoBackend, "the route's service is not known").retry_after(COME_BACK)
+    })?;
+    let parts = headers::prompt_parts(&head.headers);
+    // The last part is the request's own; the one before it is the last that others share.
+    let shared = parts.len().saturating_sub(2);
+    let part = parts.get(shared).map(|part| part.id);
+    let need = headers::token_need(&head.headers).unwrap_or_default();
+    let priority = workspace.as_ref().and_then(|workspace| workspace.priority);
+    let priority = priority.unwrap_or(route.priority).min(9);
+    let priority = service.engine.as_ref().map(|_| priority);
+    let deadline = headers::deadline(&head.headers);
+    let id = head
+        .headers
+        .text(headers::REQUEST_ID)
+        .unwrap_or_default()
+        .to_owned();
+    Ok(Admitted {
+        out: Outgoing {
+            id,
+            head,
+            body,
+            workspace,
+            priority,
+        },
+        route: route.clone(),
+        service,
+        part,
+        need,
+        received,
+        deadline,
+    })
+}
+
+/// Picks one of a route's services by their weights.
+fn pick_service(
+    deployment: &deployment::Deployment,
+    route: &deployment::Route,
+) -> Option<Arc<deployment::Service>> {
+    let total: f64 = route.targets.iter().map(|target| target.weight).sum();
+    let mut at = fastrand::f64() * total;
+    let picked = route.targets.iter().find(|target| {
+        at -= target.weight;
+        at < 0.0
+    });
+    let picked = picked.or(route.targets.last())?;
+    deployment.services.get(&picked.service).cloned()
+}
+
+async fn set_aside(
+    gw: &Rc<core::Gateway>,
+    req: &Admitted,
+) -> Result<Option<budget::Reservation>, Refusal> {
+    let Some(workspace) = &req.out.workspace else {
+        return Ok(None);
+    };
+    if workspace.prepaid_tokens.is_none() || req.need.at_most() == 0 {
+        return Ok(None);
+    }
+    let tokens = req.need.at_most();
+    let reserved = budget::reserve(gw, &workspace.name, tokens).await;
+    reserved.map(Some).map_err(|short| match short {
+        budget::Short::Exhausted => {
+            let message = format!("{tokens} tokens are not left in the budget");
+            Refusal::new(Code::BudgetSpent, message)
+        }
+        budget::Short::Unreachable => {
+            let message = format!("{tokens} tokens could not be reached in time");
+            Refusal::new(Code::BudgetUnreachable, message).retry_after(COME_BACK)
+        }
+    })
+}
+
+/// Sends the request until a server's answer is passed on or nothing may be tried any more.
+async fn attempts(
+    gw: &Rc<core::Gateway>,
+    caller: &mut conn::Conn,
+    req: &Admitted,
+    stream: &mut relay::Stream,
+    may_have_run: &mut bool,
+    close: bool,
+) -> Result<(), Stop> {
+    let service = &req.service.name;
+    gw.repeats.borrow_mut().request(service, gw.now());
+    let mut tried = Vec::new();
+    let mut runs = 0;
+    let mut sends = 0;
+    loop {
+        if sends > 0
+            && !gw
+                .repeats
+                .borrow_mut()
+                .take(service, gw.allowance(), gw.routers(), gw.now())
+        {
+            return Err(give_up(
+                *may_have_run,
+                "the repeats of the service are used up",
+            ));
+        }
+        let Some(server) = choose(gw, req, &tried) else {
+            return Err(give_up(*may_have_run, "no backend server is available"));
+        };
+        sends += 1;
+        tried.push(server.id.clone());
+        let end = one_attempt(gw, caller, req, &server, stream, close).await;
+        let now = gw.now();
+        let (cause, not_run) = match end {
+            End::Done => {
+                gw.ejection.borrow_mut().succeeded(&server.id);
+                return Ok(());
+            }
+            End::CallerGone(cause) => return Err(Stop::Broken(cause)),
+            End::NotRun(cause) => (cause, true),
+            End::Failed(cause) => (cause, false),
+        };
+        gw.ejection.borrow_mut().failed(&server.id, now);
+        let id = &req.out.id;
+        tracing::info!(id, server = %server.id, sends, not_run, cause, "request: attempt failed");
+        if !not_run {
+            *may_have_run = true;
+            runs += 1;
+        }
+        let allowed = match not_run {
+            true => sends < req.route.max_attempts + EXTRA_SENDS,
+            false => req.route.kind.is_repeatable() && runs < req.route.max_attempts,
+        };
+        // What cannot be repeated and has run anywhere is over.
+        let allowed = allowed && (req.route.kind.is_repeatable() || !*may_have_run);
+        if !allowed || req.left(now).is_zero() {
+            if stream.is_begun {
+                return Err(Stop::Broken(cause));
+            }
+            return Err(give_up(*may_have_run, &cause));
+        }
+        counter!("fulmar_gateway_repeats_total").increment(1);
+    }
+}
+
+fn give_up(may_have_run: bool, cause: &str) -> Stop {
+    let refusal = match may_have_run {
+        true => Refusal::new(Code::BackendFailed, cause),
+        false => Refusal::new(Code::NoBackend, cause).retry_after(COME_BACK),
+    };
+    refusal.into()
+}
+
+fn choose(
+    gw: &core::Gateway,
+    req: &Admitted,
+    tried: &[crate::state::name::Name],
+) -> Option<Arc<server::Server>> {
+    let ready = directory::ready(gw, &req.service.name);
+    let fresh: Vec<_> = ready
+        .iter()
+        .filter(|server| !tried.contains(&server.id))
+        .cloned()
+        .collect();
+    let now = gw.now();
+    let sound: Vec<_> = {
+        let ejection = gw.ejection.borrow();
+        let admitted = fresh
+            .iter()
+            .filter(|server| ejection.admits(&server.id, now));
+        admitted.cloned().collect()
+    };
+    let pick = |servers: &[Arc<server::Server>]| {
+        gw.placing
+            .borrow()
+            .choose(servers, req.part, fastrand::u64(..))
+    };
+    pick(&sound)
+        .or_else(|| pick(&fresh))
+        .or_else(|| pick(&ready))
+}
+
+/// How one attempt ended.
+enum End {
+    Done,
+    CallerGone(String),
+    NotRun(String),
+    Failed(String),
+}
+
+async fn one_attempt(
+    gw: &Rc<core::Gateway>,
+    caller: &mut conn::Conn,
+    req: &Admitted,
+    server: &Arc<server::Server>,
+    stream: &mut relay::Stream,
+    close: bool,
+) -> End {
+    let left = req.left(gw.now());
+    let last_event = stream.last_id.clone();
+    let sent = exchange::attempt(gw, &req.out, server, left, last_event.as_deref()).await;
+    let mut answer = match sent {
+        Ok(answer) => answer,
+        Err(exchange::Failure::NotRun(cause)) => return End::NotRun(cause),
+        Err(exchange::Failure::MayHaveRun(cause)) => return End::Failed(cause),
+    };
+    let status = answer.head.status;
+    if headers::says_not_run(&answer.head) {
+        let drained = relay::read_plain(&mut answer).await;
+        if drained.is_ok() {
+            answer.finish(gw);
+        }
+        return End::NotRun(format!("the server turned it away with status {status}"));
+    }
+    if !headers::is_signed(&answer.head) {
+        return End::Failed(format!("an unsigned answer with status {status}"));
+    }
+    if status == 200 && req.route.kind.is_stream() {
+        return pass_stream(gw, caller, answer, stream, close).await;
+    }
+    if stream.is_begun {
+        return End::Failed(format!("status {status} instead of the rest of a stream"));
+    }
+    pass_plain(gw, caller, req, answer, close).await
+}
+
+async fn pass_stream(
+    gw: &Rc<core::Gateway>,
+    caller: &mut conn::Conn,
+    mut answer: exchange::Answer,
+    stream: &mut relay::Stream,
+    close: bool,
+) -> End {
+    match stream.pass(caller, &mut answer, close).await {
+        Ok(()) => {
+            answer.finish(gw);
+            End::Done
+        }
+        Err(relay::Broken::Caller(err)) => End::CallerGone(err.to_string()),
+        Err(relay::Broken::Server(err)) => End::Failed(format!("broken off: {err}")),
+    }
+}
+
+async fn pass_plain(
+    gw: &Rc<core::Gateway>,
+    caller: &mut conn::Conn,
+    req: &Admitted,
+    mut answer: exchange::Answer,
+    close: bool,
+) -> End {
+    let status = answer.head.status;
+    let body = match relay::read_plain(&mut answer).await {
+        Ok(body) => body,
+        Err(err) => return End::Failed(cut_short(&err)),
+    };
+    let head = answer.head.clone();
+    answer.finish(gw);
+    // A failure that may be repeated is tried elsewhere; the caller repeats it otherwise.
+    if status >= 500 && req.route.kind.is_repeatable() && req.route.max_attempts > 1 {
+        return End::Failed(format!("the server failed with status {status}"));
+    }
+    match relay::send_plain(caller, &head, &body, close).await {
+        Ok(()) => End::Done,
+        Err(err) => End::CallerGone(err.to_string()),
+    }
+}
+
+fn cut_short(err: &fault::Fault) -> String {
+    format!("the answer was cut short: {err}")
+}
--- /dev/null
+++ b/src/gateway/signals.rs
@@ -0,0 +1,68 @@
+//! Signals, and settings that change.
+
+use std::{rc::Rc, time::Duration};
+
+use crate::{error, gateway::core, platform};
+
+/// How often the settings file is looked at, since it may change without a signal.
+const LOOK_EVERY: Duration = Duration::from_secs(1);
+
+/// A signal that matters here.
+enum Signal {
+    Stop,
+    Reload,
+}
+
+/// Listens for signals on a thread of its own.
+pub fn listen() -> Result<async_channel::Receiver<i32>, error::Error> {
+    let mut signals = signal_hook::iterator::Signals::new([
+        signal_hook::consts::SIGTERM,
+        signal_hook::consts::SIGINT,
+        signal_hook::consts::SIGHUP,
+    ])?;
+    let (tx, rx) = async_channel::unbounded();
+    std::thread::Builder::new()
+        .name("signals".to_owned())
+        .stack_size(64 * 1024)
+        .spawn(move || {
+            signals
+                .forever()
+                .all(|signal| tx.send_blocking(signal).is_ok())
+        })?;
+    Ok(rx)
+}
+
+async fn next(signals: &async_channel::Receiver<i32>) -> Signal {
+    match signals.recv().await {
+        Ok(signal_hook::consts::SIGHUP) => Signal::Reload,
+        Ok(_) | Err(_) => Signal::Stop,
+    }
+}
+
+/// Obeys signals until one of them says to stop.
+pub async fn obey(gw: &Rc<core::Gateway>, path: &str, signals: &async_channel::Receiver<i32>) {
+    let path = path.to_owned();
+    let looking = gw.clone();
+    let looked = path.clone();
+    gw.spawn(async move {
+        while !looking.is_leaving.get() {
+            looking.timers.sleep(LOOK_EVERY).await;
+            reload(&looking, &looked);
+        }
+    });
+    while let Signal::Reload = next(signals).await {
+        tracing::info!("signals: told to reload the settings");
+        reload(gw, &path);
+    }
+}
+
+fn reload(gw: &core::Gateway, path: &str) {
+    match platform::settings::read(path) {
+        Ok(settings) if settings == gw.settings() => (),
+        Ok(settings) => {
+            gw.reload(settings);
+            tracing::info!(path, "signals: settings reloaded");
+        }
+        Err(err) => tracing::warn!(%err, "signals: settings kept as they were"),
+    }
+}
--- /dev/null
+++ b/src/platform/servers.rs
@@ -0,0 +1,46 @@
+//! Entries that backend servers write of themselves.
+
+use serde::Deserialize;
+
+use crate::state::{name, server};
+
+/// Prefix of the entries.
+pub const PREFIX: &str = "servers/";
+
+#[derive(Deserialize)]
+struct Entry {
+    service: String,
+    address: String,
+    zone: String,
+    slots: Option<u32>,
+    state: String,
+    /// Unix milliseconds of the start.
+    born: Option<u64>,
+}
+
+/// Decodes an entry; `None` when it names no server that could be used.
+///
+/// ```
+/// use fulmarproxy::platform::servers;
+/// let entry = br#"{"service":"s","address":"10.0.0.1:80","zone":"a","state":"ready"}"#;
+/// assert!(servers::decode("servers/i-1", entry).unwrap().takes_work);
+/// assert!(servers::decode("servers/i-1", b"?").is_none());
+/// ```
+pub fn decode(key: &str, bytes: &[u8]) -> Option<server::Server> {
+    let id = key.strip_prefix(PREFIX).filter(|id| !id.is_empty())?;
+    let entry: Entry = serde_json::from_slice(bytes).ok()?;
+    let takes_work = match entry.state.as_str() {
+        "ready" => true,
+        "draining" => false,
+        _ => return None,
+    };
+    Some(server::Server {
+        id: name::Name::from(id),
+        service: name::Name::from(&*entry.service),
+        address: entry.address.parse().ok()?,
+        zone: name::Name::from(&*entry.zone),
+        slots: entry.slots.unwrap_or(1),
+        takes_work,
+        started_unix_ms: entry.born.unwrap_or(0),
+    })
+}
--- /dev/null
+++ b/src/platform/settings.rs
@@ -0,0 +1,127 @@
+//! The settings file that the platform writes for a process.
+
+use std::{net::SocketAddr, time::Duration};
+
+use serde::Deserialize;
+
+use crate::{error, state::name};
+
+/// Environment variable with the path of the settings file.
+pub const PATH_VARIABLE: &str = "FULMARPROXY_BOOT";
+
+#[derive(Deserialize)]
+struct File {
+    node: String,
+    ip: std::net::IpAddr,
+    zone: String,
+    internal_ports: [u16; 2],
+    #[serde(default)]
+    listen: Listen,
+    bounds: Bounds,
+    provider: Provider,
+}
+
+#[derive(Default, Deserialize)]
+struct Listen {
+    front: Option<SocketAddr>,
+    ready: Option<SocketAddr>,
+}
+
+#[derive(Deserialize)]
+struct Bounds {
+    drain_ms: f64,
+    grace_s: f64,
+    retry_budget_ratio: f64,
+    budget_window_s: f64,
+    /// Misleading name: repeats allowed a window besides the ratio; no tokens are meant.
+    budget_slack: f64,
+}
+
+#[derive(Deserialize)]
+struct Provider {
+    address: SocketAddr,
+}
+
+/// Settings of a process on the platform.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Name of the VM.
+    pub vm: name::Name,
+    /// Availability zone of the VM.
+    pub zone: name::Name,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address at which the platform asks for readiness.
+    pub ready_listen: SocketAddr,
+    /// Address for other members of the fleet.
+    pub fleet_listen: SocketAddr,
+    /// Address for metrics and status.
+    pub admin_listen: SocketAddr,
+    /// Address of the platform's store.
+    pub store: SocketAddr,
+    /// Longest time that a leaving backend server may get new work.
+    pub drain: Duration,
+    /// Time from the signal to stop to the kill.
+    pub grace: Duration,
+    /// Repeats allowed for each request of a service.
+    pub repeats_per_request: f64,
+    /// Window over which repeats are counted.
+    pub repeat_window: Duration,
+    /// Repeats allowed in a window besides the ratio, over the whole fleet.
+    pub repeat_slack: f64,
+}
+
+fn wrong(field: &'static str, allowed: &'static str) -> error::Error {
+    error::Error::Setting {
+        setting: field,
+        value: String::new(),
+        allowed,
+    }
+}
+
+fn seconds(value: f64, field: &'static str) -> Result<Duration, error::Error> {
+    Duration::try_from_secs_f64(value).map_err(|_| wrong(field, "a time of 0 or more"))
+}
+
+/// Decodes a settings file.
+///
+/// # Errors
+///
+/// [`error::Error::SettingsFile`] names the path and what does not parse;
+/// [`error::Error::Setting`] names a field that is missing or out of its range.
+pub fn decode(path: &str, text: &str) -> Result<Settings, error::Error> {
+    let file: File = toml::from_str(text).map_err(|source| error::Error::SettingsFile {
+        path: path.to_owned(),
+        source: Box::new(source),
+    })?;
+    let listen = file.listen.front;
+    let ready = file.listen.ready;
+    let port = |offset: u16| SocketAddr::new(file.ip, file.internal_ports[0] + offset);
+    Ok(Settings {
+        vm: name::Name::from(&*file.node),
+        zone: name::Name::from(&*file.zone),
+        listen: listen.ok_or_else(|| wrong("listen.front", "an address for callers"))?,
+        ready_listen: ready.ok_or_else(|| wrong("listen.ready", "an address for readiness"))?,
+        fleet_listen: port(0),
+        admin_listen: port(1),
+        store: file.provider.address,
+        drain: seconds(file.bounds.drain_ms / 1000.0, "bounds.drain_ms")?,
+        grace: seconds(file.bounds.grace_s, "bounds.grace_s")?,
+        repeats_per_request: file.bounds.retry_budget_ratio,
+        repeat_window: seconds(file.bounds.budget_window_s, "bounds.budget_window_s")?,
+        repeat_slack: file.bounds.budget_slack,
+    })
+}
+
+/// Reads the settings file.
+///
+/// # Errors
+///
+/// [`error::Error::File`] names the path; otherwise as [`decode`].
+pub fn read(path: &str) -> Result<Settings, error::Error> {
+    let text = std::fs::read_to_string(path).map_err(|source| error::Error::File {
+        path: path.to_owned(),
+        source,
+    })?;
+    decode(path, &text)
+}
--- /dev/null
+++ b/src/platform/store.rs
@@ -0,0 +1,482 @@
+//! The platform's key-value store: one client for all parts.
+
+use std::{cell::RefCell, net::SocketAddr, time::Duration};
+
+use base64::Engine as _;
+use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
+
+use crate::transport::{
+    h1::{body, conn, dial, head, pool},
+    timers,
+};
+
+/// Longest wait for the answer of a call; a slow store takes a quarter of a second.
+const CALL_LIMIT: Duration = Duration::from_millis(1500);
+
+/// Longest wait for a connection; a round trip takes a few milliseconds.
+const CONNECT_LIMIT: Duration = Duration::from_millis(600);
+
+/// Time that a watch may answer late, beyond the wait that it asked for.
+const WATCH_SLACK: Duration = Duration::from_millis(1500);
+
+/// Time that an idle connection to the store is kept.
+const IDLE: Duration = Duration::from_secs(5);
+
+/// Most bytes of an answer: a page holds about a megabyte, and base64 adds a third.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+
+/// Why a call failed.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+pub enum StoreError {
+    /// The store turned the call away; nothing was done.
+    #[display("the store refused {call} with status {status}")]
+    Refused {
+        /// Call.
+        call: &'static str,
+        /// Status of the answer.
+        status: u16,
+    },
+    /// No usable answer came; a write may have been done, or may yet be.
+    #[display("{call} at the store has no answer: {cause}")]
+    NoAnswer {
+        /// Call.
+        call: &'static str,
+        /// Cause.
+        cause: String,
+    },
+}
+
+/// An item of the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Item {
+    /// Key.
+    pub key: String,
+    /// Value; empty for a key that does not exist.
+    pub value: Vec<u8>,
+    /// Revision of its last change; 0 for a key that does not exist.
+    pub revision: u64,
+}
+
+/// Items under a prefix.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Items {
+    /// Items in the order of their keys.
+    pub items: Vec<Item>,
+    /// Revision of the store before the first page was read.
+    pub store_revision: u64,
+}
+
+/// A change that a watch saw.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// A key was written.
+    Written(Item),
+    /// A key was removed.
+    Removed(String),
+}
+
+/// Answer of a watch.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Watched {
+    /// Changes, and the revision to go on from.
+    Changes(Vec<Change>, u64),
+    /// The store has dropped the history; everything must be read anew.
+    HistoryLost,
+}
+
+/// A write under conditions.
+#[derive(Clone, Debug, Default)]
+pub struct Write {
+    /// Revisions that the keys must have; 0 for a key that must not exist.
+    pub expected: Vec<(String, u64)>,
+    /// Keys and their new values.
+    pub puts: Vec<(String, Vec<u8>)>,
+    /// Lease that the written keys end with; 0 for none.
+    pub lease: u64,
+    /// Keys to remove.
+    pub removes: Vec<String>,
+}
+
+/// Outcome of a write.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Written {
+    /// It was done.
+    Done,
+    /// A condition failed; the keys of the conditions as they are.
+    Conflict(Vec<Item>),
+    /// Its lease has ended.
+    LeaseEnded,
+}
+
+/// A lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lease {
+    /// Id.
+    pub id: u64,
+    /// Time after which it ends unless it is renewed.
+    pub ttl: Duration,
+}
+
+/// Client of the store.
+pub struct Store {
+    address: RefCell<SocketAddr>,
+    timers: timers::Timers,
+    pool: RefCell<pool::Pool>,
+}
+
+#[derive(Deserialize)]
+struct WireItem {
+    key: String,
+    #[serde(default)]
+    value: String,
+    #[serde(default)]
+    revision: u64,
+    #[serde(default)]
+    deleted: bool,
+}
+
+#[derive(Deserialize)]
+struct WirePage {
+    items: Vec<WireItem>,
+    #[serde(default)]
+    has_more: bool,
+    store_revision: u64,
+}
+
+#[derive(Deserialize)]
+struct WireEvents {
+    events: Vec<WireItem>,
+    store_revision: u64,
+}
+
+#[derive(Deserialize)]
+struct WireConflict {
+    items: Vec<WireItem>,
+}
+
+#[derive(Deserialize)]
+struct WireLease {
+    lease: u64,
+    ttl_ms: u64,
+}
+
+#[derive(Serialize)]
+struct WireExpected<'a> {
+    key: &'a str,
+    revision: u64,
+}
+
+#[derive(Serialize)]
+struct WirePut<'a> {
+    key: &'a str,
+    value: String,
+    lease: u64,
+}
+
+#[derive(Serialize)]
+struct WireWrite<'a> {
+    expected_revision: Vec<WireExpected<'a>>,
+    puts: Vec<WirePut<'a>>,
+    remove: &'a [String],
+}
+
+struct Answer {
+    status: u16,
+    body: Vec<u8>,
+}
+
+fn encoded(key: &str) -> String {
+    let keep = |b: u8| b.is_ascii_alphanumeric() || b"-_./".contains(&b);
+    let encode = |b: u8| match keep(b) {
+        true => char::from(b).to_string(),
+        false => format!("%{b:02X}"),
+    };
+    key.bytes().map(encode).collect()
+}
+
+fn item(wire: WireItem) -> Result<Item, String> {
+    let value = base64::engine::general_purpose::STANDARD.decode(&wire.value);
+    let value = value.map_err(|err| format!("the value of {} is not base64: {err}", wire.key))?;
+    Ok(Item {
+        key: wire.key,
+        value,
+        revision: wire.revision,
+    })
+}
+
+fn change(wire: WireItem) -> Result<Change, String> {
+    match wire.deleted {
+        true => Ok(Change::Removed(wire.key)),
+        false => item(wire).map(Change::Written),
+    }
+}
+
+fn parse<'a, T: Deserialize<'a>>(call: &'static str, answer: &'a Answer) -> Result<T, StoreError> {
+    let parsed = serde_json::from_slice(&answer.body);
+    parsed.map_err(|err| no_answer(call, err.to_string()))
+}
+
+fn no_answer(call: &'static str, cause: String) -> StoreError {
+    StoreError::NoAnswer { call, cause }
+}
+
+fn refused(call: &'static str, status: u16) -> StoreError {
+    match status {
+        429 | 503 => StoreError::Refused { call, status },
+        _ => no_answer(call, format!("status {status} is not expected")),
+    }
+}
+
+impl Store {
+    /// Makes a client of the store at an address.
+    pub fn new(address: SocketAddr, timers: timers::Timers) -> Self {
+        Self {
+            address: RefCell::new(address),
+            timers,
+            pool: RefCell::default(),
+        }
+    }
+
+    /// Sends later calls to another address.
+    pub fn move_to(&self, address: SocketAddr) {
+        *self.address.borrow_mut() = address;
+    }
+
+    /// Reads a key; one that does not exist has the revision 0.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError`] tells whether the store refused or gave no answer.
+    pub async fn get(&self, key: &str) -> Result<Item, StoreError> {
+        const CALL: &str = "get";
+        let path = format!("/kv-key?key={}", encoded(key));
+        let answer = self.call(CALL, "GET", &path, None, CALL_LIMIT).await?;
+        match answer.status {
+            200 => item(parse(CALL, &answer)?).map_err(|cause| no_answer(CALL, cause)),
+            404 => Ok(Item {
+                key: key.to_owned(),
+                value: Vec::new(),
+                revision: 0,
+            }),
+            status => Err(refused(CALL, status)),
+        }
+    }
+
+    /// Reads all items under a prefix, page by page; a stale read is cheaper and seconds old.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Store::get`].
+    pub async fn range(&self, prefix: &str, stale: bool) -> Result<Items, StoreError> {
+        const CALL: &str = "range";
+        let mut items = Items::default();
+        let mut after = String::new();
+        loop {
+            let mut path = format!("/kv-range?path_prefix={}", encoded(prefix));
+            if !after.is_empty() {
+                path.push_str(&format!("&after={}", encoded(&after)));
+            }
+            if stale {
+                path.push_str("&stale_ok=1");
+            }
+            let answer = self.call(CALL, "GET", &path, None, CALL_LIMIT).await?;
+            if answer.status != 200 {
+                return Err(refused(CALL, answer.status));
+            }
+            let page: WirePage = parse(CALL, &answer)?;
+            if after.is_empty() {
+                items.store_revision = page.store_revision;
+            }
+            for wire in page.items {
+                after.clone_from(&wire.key);
+                let item = item(wire).map_err(|cause| no_answer(CALL, cause))?;
+                items.items.push(item);
+            }
+            if !page.has_more || after.is_empty() {
+                return Ok(items);
+            }
+        }
+    }
+
+    /// Waits for changes under a prefix after a revision, for at most `wait`.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Store::get`].
+    pub async fn watch(
+        &self,
+        prefix: &str,
+        after: u64,
+        wait: Duration,
+    ) -> Result<Watched, StoreError> {
+        const CALL: &str = "watch";
+        let path = format!(
+            "/kv-watch?path_prefix={}&after={after}&wait_ms={}",
+            encoded(prefix),
+            wait.as_millis()
+        );
+        let limit = wait + WATCH_SLACK;
+        let answer = self.call(CALL, "GET", &path, None, limit).await?;
+        match answer.status {
+            200 => {
+                let events: WireEvents = parse(CALL, &answer)?;
+                let changes: Result<Vec<_>, _> = events.events.into_iter().map(change).collect();
+                let changes = changes.map_err(|cause| no_answer(CALL, cause))?;
+                Ok(Watched::Changes(changes, events.store_revision))
+            }
+            410 => Ok(Watched::HistoryLost),
+            status => Err(refused(CALL, status)),
+        }
+    }
+
+    /// Writes under conditions, all or nothing; at most 32 keys.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Store::get`]; without an answer the write may have been done, or may yet be.
+    pub async fn write(&self, write: &Write) -> Result<Written, StoreError> {
+        const CALL: &str = "write";
+        let expected = write.expected.iter().map(|(key, revision)| WireExpected {
+            key,
+            revision: *revision,
+        });
+        let puts = write.puts.iter().map(|(key, value)| WirePut {
+            key,
+            value: base64::engine::general_purpose::STANDARD.encode(value),
+            lease: write.lease,
+        });
+        let wire = WireWrite {
+            expected_revision: expected.collect(),
+            puts: puts.collect(),
+            remove: &write.removes,
+        };
+        let body = serde_json::to_vec(&wire).map_err(|err| no_answer(CALL, err.to_string()))?;
+        let answer = self.call(CALL, "POST", "/kv-txn", Some(&body), CALL_LIMIT);
+        let answer = answer.await?;
+        match answer.status {
+            200 => Ok(Written::Done),
+            404 => Ok(Written::LeaseEnded),
+            412 => {
+                let conflict: WireConflict = parse(CALL, &answer)?;
+                let items: Result<Vec<_>, _> = conflict.items.into_iter().map(item).collect();
+                let items = items.map_err(|cause| no_answer(CALL, cause))?;
+                Ok(Written::Conflict(items))
+            }
+            status => Err(refused(CALL, status)),
+        }
+    }
+
+    /// Takes a lease.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Store::get`].
+    pub async fn lease(&self, ttl: Duration) -> Result<Lease, StoreError> {
+        const CALL: &str = "lease";
+        let body = format!("{{\"ttl_ms\":{}}}", ttl.as_millis());
+        let answer = self.call(CALL, "POST", "/kv-lease", Some(body.as_bytes()), CALL_LIMIT);
+        let answer = answer.await?;
+        if answer.status != 200 {
+            return Err(refused(CALL, answer.status));
+        }
+        let lease: WireLease = parse(CALL, &answer)?;
+        Ok(Lease {
+            id: lease.lease,
+            ttl: Duration::from_millis(lease.ttl_ms),
+        })
+    }
+
+    /// Renews a lease; false when it has ended.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Store::get`].
+    pub async fn keep(&self, lease: u64) -> Result<bool, StoreError> {
+        const CALL: &str = "keep";
+        let path = format!("/kv-keep/{lease}");
+        let answer = self
+            .call(CALL, "POST", &path, Some(b""), CALL_LIMIT)
+            .await?;
+        match answer.status {
+            200 => Ok(true),
+            404 => Ok(false),
+            status => Err(refused(CALL, status)),
+        }
+    }
+
+    /// Ends a lease and removes its keys.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Store::get`].
+    pub async fn end(&self, lease: u64) -> Result<(), StoreError> {
+        const CALL: &str = "end";
+        let path = format!("/kv-lease-end/{lease}");
+        let answer = self.call(CALL, "DELETE", &path, None, CALL_LIMIT).await?;
+        match answer.status {
+            200 | 204 | 404 => Ok(()),
+            status => Err(refused(CALL, status)),
+        }
+    }
+
+    async fn call(
+        &self,
+        call: &'static str,
+        method: &str,
+        path: &str,
+        body: Option<&[u8]>,
+        limit: Duration,
+    ) -> Result<Answer, StoreError> {
+        let address = *self.address.borrow();
+        let exchange = self.exchange(address, method, path, body);
+        match self.timers.within(limit, exchange).await {
+            Some(Ok(answer)) => Ok(answer),
+            Some(Err(cause)) => Err(no_answer(call, cause)),
+            None => Err(no_answer(call, format!("none within {limit:?}"))),
+        }
+    }
+
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        method: &str,
+        path: &str,
+        body: Option<&[u8]>,
+    ) -> Result<Answer, String> {
+        let mut conn = self.connection(address).await?;
+        let mut request = format!("{method} {path} HTTP/1.1\r\nHost: {address}\r\n");
+        if let Some(body) = body {
+            request.push_str("Content-Type: application/json\r\n");
+            request.push_str(&format!("Content-Length: {}\r\n", body.len()));
+        }
+        request.push_str("\r\n");
+        let mut bytes = request.into_bytes();
+        bytes.extend_from_slice(body.unwrap_or_default());
+        let text = |err: &dyn std::fmt::Display| err.to_string();
+        conn.write(&bytes).await.map_err(|err| text(&err))?;
+        let answer = head::read_answer(&mut conn).await;
+        let answer = answer.map_err(|err| text(&err))?;
+        let framing = body::of_answer(&answer, method).map_err(|err| text(&err))?;
+        let mut reader = body::Body::new(framing);
+        let whole = reader.read_all(&mut conn, MAX_ANSWER_BYTES).await;
+        let whole = whole.map_err(|err| text(&err))?;
+        if answer.keeps_alive() && framing != body::Framing::Close {
+            let until = self.timers.now() + IDLE;
+            self.pool.borrow_mut().put(address, conn, until);
+        }
+        Ok(Answer {
+            status: answer.status,
+            body: whole,
+        })
+    }
+
+    async fn connection(&self, address: SocketAddr) -> Result<conn::Conn, String> {
+        let now = self.timers.now();
+        if let Some(conn) = self.pool.borrow_mut().take(address, now) {
+            return Ok(conn);
+        }
+        let connected = dial::connect(address, CONNECT_LIMIT, &self.timers).await;
+        connected.map_err(|err| format!("no connection: {err}"))
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,6 +2,7 @@
 
 pub mod budget;
 pub mod config;
+pub mod deployment;
 pub mod fences;
 pub mod holder_record;
 pub mod ledger;
@@ -12,4 +13,6 @@
 pub mod receipt;
 pub mod register;
 pub mod route;
+pub mod server;
+pub mod share_ledger;
 pub mod workspace;
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -7,6 +7,7 @@
 pub mod dialler;
 pub mod fleet;
 pub mod fleet_link;
+pub mod h1;
 pub mod handshake;
 pub mod http;
 pub mod router_rpc;
--- /dev/null
+++ b/src/transport/h1/fault.rs
@@ -0,0 +1,25 @@
+//! What can go wrong with an HTTP/1.1 message.
+
+use derive_more::{Display, Error, From};
+
+/// Why a message could not be read or written.
+#[derive(Debug, Display, Error, From)]
+pub enum Fault {
+    /// The socket failed.
+    #[from]
+    #[display("socket: {_0}")]
+    Io(std::io::Error),
+    /// The peer closed the connection in the middle of a message.
+    #[display("the connection ended inside a message")]
+    Ended,
+    /// The bytes are no HTTP/1.1 message.
+    #[display("malformed {_0}")]
+    #[error(ignore)]
+    #[from(skip)]
+    Malformed(&'static str),
+    /// A part of the message is larger than allowed.
+    #[display("{_0} is too large")]
+    #[error(ignore)]
+    #[from(skip)]
+    TooLarge(&'static str),
+}
--- /dev/null
+++ b/src/transport/h1/head.rs
@@ -0,0 +1,194 @@
+//! Heads of requests and answers.
+
+use crate::transport::h1::{conn, fault};
+
+/// Most headers of one message; the largest seen carries about twenty.
+const MAX_HEADERS: usize = 100;
+
+/// Most bytes of an answer's head; servers send well under a kilobyte.
+const MAX_ANSWER_HEAD_BYTES: usize = 64 * 1024;
+
+/// One header, spelled as it came.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Header {
+    /// Name.
+    pub name: String,
+    /// Value.
+    pub value: Vec<u8>,
+}
+
+/// Headers in their order.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Headers(pub Vec<Header>);
+
+impl Headers {
+    /// Values of a header.
+    ///
+    /// ```
+    /// use fulmarproxy::transport::h1::head;
+    /// let mut headers = head::Headers::default();
+    /// headers.push("Host", b"a.example");
+    /// assert_eq!(headers.all("host").count(), 1);
+    /// ```
+    pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> + 'a {
+        let named = move |header: &&Header| header.name.eq_ignore_ascii_case(name);
+        self.0.iter().filter(named).map(|header| &header.value[..])
+    }
+
+    /// First value of a header, when it is text.
+    pub fn text<'a>(&'a self, name: &'a str) -> Option<&'a str> {
+        let value = self.all(name).next()?;
+        std::str::from_utf8(value).ok().map(str::trim)
+    }
+
+    /// Whether a comma-separated header holds a word.
+    pub fn has_word(&self, name: &str, word: &str) -> bool {
+        let values = self.all(name).filter_map(|v| std::str::from_utf8(v).ok());
+        let mut words = values.flat_map(|value| value.split(','));
+        words.any(|found| found.trim().eq_ignore_ascii_case(word))
+    }
+
+    /// Adds a header.
+    pub fn push(&mut self, name: &str, value: &[u8]) {
+        self.0.push(Header {
+            name: name.to_owned(),
+            value: value.to_vec(),
+        });
+    }
+}
+
+/// Head of a request.
+#[derive(Clone, Debug)]
+pub struct RequestHead {
+    /// Method.
+    pub method: String,
+    /// Path and query, as sent.
+    pub target: String,
+    /// Whether the version is 1.1 rather than 1.0.
+    pub is_1_1: bool,
+    /// Headers.
+    pub headers: Headers,
+}
+
+/// Head of an answer.
+#[derive(Clone, Debug)]
+pub struct AnswerHead {
+    /// Status.
+    pub status: u16,
+    /// Whether the version is 1.1 rather than 1.0.
+    pub is_1_1: bool,
+    /// Headers.
+    pub headers: Headers,
+}
+
+impl AnswerHead {
+    /// Whether the connection may carry another request afterwards.
+    pub fn keeps_alive(&self) -> bool {
+        self.is_1_1 && !self.headers.has_word("Connection", "close")
+    }
+}
+
+fn copied(parsed: &[httparse::Header<'_>]) -> Headers {
+    let headers = parsed.iter().map(|header| Header {
+        name: header.name.to_owned(),
+        value: header.value.to_vec(),
+    });
+    Headers(headers.collect())
+}
+
+/// Reads the head of a request; `None` when the peer closed before its first byte.
+///
+/// # Errors
+///
+/// [`fault::Fault::TooLarge`] beyond `max_bytes`; [`fault::Fault::Malformed`] for other bytes.
+pub async fn read_request(
+    conn: &mut conn::Conn,
+    max_bytes: usize,
+) -> Result<Option<RequestHead>, fault::Fault> {
+    loop {
+        if let Some((head, len)) = parse_request(conn.unread())? {
+            if len > max_bytes {
+                return Err(fault::Fault::TooLarge("request head"));
+            }
+            conn.consume(len);
+            return Ok(Some(head));
+        }
+        if conn.unread().len() > max_bytes {
+            return Err(fault::Fault::TooLarge("request head"));
+        }
+        if !conn.fill().await? {
+            return match conn.unread().is_empty() {
+                true => Ok(None),
+                false => Err(fault::Fault::Ended),
+            };
+        }
+    }
+}
+
+/// Parses the head of a request; `None` when it is not whole.
+///
+/// # Errors
+///
+/// [`fault::Fault::Malformed`] for bytes that begin no request.
+///
+/// ```
+/// use fulmarproxy::transport::h1::head;
+/// let (head, len) = head::parse_request(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n").unwrap().unwrap();
+/// assert_eq!((head.target.as_str(), len), ("/a", 28));
+/// assert!(head::parse_request(b"GET /a HT").unwrap().is_none());
+/// ```
+pub fn parse_request(bytes: &[u8]) -> Result<Option<(RequestHead, usize)>, fault::Fault> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut req = httparse::Request::new(&mut headers);
+    let parsed = req.parse(bytes);
+    let parsed = parsed.map_err(|_| fault::Fault::Malformed("request head"))?;
+    let httparse::Status::Complete(len) = parsed else {
+        return Ok(None);
+    };
+    let head = RequestHead {
+        method: req.method.unwrap_or_default().to_owned(),
+        target: req.path.unwrap_or_default().to_owned(),
+        is_1_1: req.version == Some(1),
+        headers: copied(req.headers),
+    };
+    Ok(Some((head, len)))
+}
+
+/// Reads the head of an answer, past interim answers.
+///
+/// # Errors
+///
+/// [`fault::Fault::Ended`] when the peer closed first; [`fault::Fault::Malformed`] for other bytes.
+pub async fn read_answer(conn: &mut conn::Conn) -> Result<AnswerHead, fault::Fault> {
+    loop {
+        if let Some((head, len)) = parse_answer(conn.unread())? {
+            conn.consume(len);
+            if head.status >= 200 {
+                return Ok(head);
+            }
+            continue;
+        }
+        if conn.unread().len() > MAX_ANSWER_HEAD_BYTES {
+            return Err(fault::Fault::TooLarge("answer head"));
+        }
+        if !conn.fill().await? {
+            return Err(fault::Fault::Ended);
+        }
+    }
+}
+
+fn parse_answer(bytes: &[u8]) -> Result<Option<(AnswerHead, usize)>, fault::Fault> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut answer = httparse::Response::new(&mut headers);
+    let parsed = answer.parse(bytes);
+    let parsed = parsed.map_err(|_| fault::Fault::Malformed("answer head"))?;
+    let httparse::Status::Complete(len) = parsed else {
+        return Ok(None);
+    };
+    let head = AnswerHead {
+        status: answer.code.unwrap_or_default(),
+        is_1_1: answer.version == Some(1),
+        headers: copied(answer.headers),
+    };
+    Ok(Some((head, len)))
+}
