Count what cancelled requests spend, and never call a sent request not run

Cause: a request that its caller cancelled was dropped before its spending was counted, and one whose timeout passed while it was at a backend server was answered 503. Ruled out: the ledger; its grants never passed the prepaid total.

A meter now counts as it happens.

--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -34,13 +34,6 @@
     spent: u64,
 }
 
-impl Reservation {
-    /// Counts tokens as spent.
-    pub fn spend(&mut self, tokens: u64) {
-        self.spent = self.reserved.min(self.spent + tokens);
-    }
-}
-
 impl Drop for Reservation {
     fn drop(&mut self) {
         let mut shares = self.gw.shares.borrow_mut();
@@ -49,6 +42,63 @@
     }
 }
 
+/// Counts what one request spends, as it happens, so that a request that is cancelled counts too.
+pub struct Meter {
+    reservation: Option<Reservation>,
+    input: u64,
+    per_event: u64,
+    is_sent: bool,
+    may_have_run: bool,
+    output: u64,
+}
+
+impl Meter {
+    /// Begins to count a request whose prompt has `input` tokens and whose events hold
+    /// `per_event` tokens each; without a reservation nothing is paid for.
+    pub fn new(reservation: Option<Reservation>, input: u64, per_event: u64) -> Self {
+        Self {
+            reservation,
+            input,
+            per_event,
+            is_sent: false,
+            may_have_run: false,
+            output: 0,
+        }
+    }
+
+    /// Counts the input, once, of a request that is about to be sent.
+    pub fn sending(&mut self) {
+        self.is_sent = true;
+        self.count();
+    }
+
+    /// Takes the input back when a send certainly did not run; `may_have_run` tells whether
+    /// an earlier one may have.
+    pub fn sent(&mut self, may_have_run: bool) {
+        self.is_sent = false;
+        self.may_have_run |= may_have_run;
+        self.count();
+    }
+
+    /// Counts events that go to the caller.
+    pub fn events(&mut self, events: u64) {
+        self.output += events * self.per_event;
+        self.count();
+    }
+
+    /// Whether an attempt may have run, or may still run.
+    pub fn may_have_run(&self) -> bool {
+        self.is_sent || self.may_have_run
+    }
+
+    fn count(&mut self) {
+        let input = if self.may_have_run() { self.input } else { 0 };
+        if let Some(reservation) = &mut self.reservation {
+            reservation.spent = reservation.reserved.min(input + self.output);
+        }
+    }
+}
+
 /// Why no tokens were set aside.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Short {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,7 +1,7 @@
 //! Passes a backend server's answer on to the caller.
 
 use crate::{
-    gateway::{core, exchange, refusal},
+    gateway::{budget, exchange, refusal},
     platform::headers,
     transport::h1::{conn, fault, head},
 };
@@ -18,12 +18,11 @@
 }
 
 /// A stream of events on its way to the caller.
-#[derive(Debug, Default)]
 pub struct Stream {
+    /// Counts what the request spends.
+    pub meter: budget::Meter,
     /// Whether the caller has the head of the answer.
     pub is_begun: bool,
-    /// Events passed on.
-    pub events: u64,
     /// Id of the last event passed on.
     pub last_id: Option<String>,
     /// Bytes of an event that is not whole yet.
@@ -74,6 +73,16 @@
 }
 
 impl Stream {
+    /// A stream of which nothing was passed on yet.
+    pub fn new(meter: budget::Meter) -> Self {
+        Self {
+            meter,
+            is_begun: false,
+            last_id: None,
+            partial: Vec::new(),
+        }
+    }
+
     /// Passes events on as they come, whole ones only, up to the end of the answer.
     ///
     /// # Errors
@@ -141,13 +150,8 @@
         for line in text.lines() {
             if let Some(id) = line.strip_prefix("id:") {
                 self.last_id = Some(id.trim().to_owned());
-                self.events += 1;
+                self.meter.events(1);
             }
         }
     }
 }
-
-/// Keeps an answer's connection for another request.
-pub fn finish(gw: &core::Gateway, answer: exchange::Answer) {
-    answer.finish(gw);
-}
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -155,30 +155,23 @@
     close: bool,
 ) -> Result<(), Stop> {
     let req = admit(gw, head, body, received)?;
-    let mut reservation = set_aside(gw, &req).await?;
+    let reservation = set_aside(gw, &req).await?;
     let limit = req.end().saturating_sub(gw.now());
-    let mut stream = relay::Stream::default();
-    let mut may_have_run = false;
-    let work = attempts(gw, caller, &req, &mut stream, &mut may_have_run, close);
-    let done = gw.timers.within(limit, work).await;
-    if let Some(reservation) = &mut reservation {
-        // Input counts once a request that may have run, output as it was passed on.
-        let per_event = req
-            .service
-            .engine
-            .as_ref()
-            .map_or(1, |engine| engine.tokens_per_event);
-        let input = if may_have_run { req.need.input } else { 0 };
-        reservation.spend(input + stream.events * per_event);
+    let engine = req.service.engine.as_ref();
+    let per_event = engine.map_or(1, |engine| engine.tokens_per_event);
+    let meter = budget::Meter::new(reservation, req.need.input, per_event);
+    let mut stream = relay::Stream::new(meter);
+    let work = attempts(gw, caller, &req, &mut stream, close);
+    if let Some(done) = gw.timers.within(limit, work).await {
+        return done;
     }
-    match done {
-        Some(done) => done,
-        None if stream.is_begun => Err(Stop::Broken("the route's timeout passed".to_owned())),
-        None if may_have_run => {
-            let message = "the route's timeout passed";
-            Err(Refusal::new(Code::DeadlinePassed, message).into())
-        }
-        None => Err(Refusal::new(Code::Overloaded, "no backend server in time").into()),
+    if stream.is_begun {
+        return Err(Stop::Broken("the route's timeout passed".to_owned()));
+    }
+    let message = "the route's timeout passed";
+    match stream.meter.may_have_run() {
+        true => Err(Refusal::new(Code::DeadlinePassed, message).into()),
+        false => Err(Refusal::new(Code::Overloaded, message).into()),
     }
 }
 
@@ -289,7 +282,6 @@
     caller: &mut conn::Conn,
     req: &Admitted,
     stream: &mut relay::Stream,
-    may_have_run: &mut bool,
     close: bool,
 ) -> Result<(), Stop> {
     let service = &req.service.name;
@@ -304,13 +296,10 @@
                 .borrow_mut()
                 .take(service, gw.allowance(), gw.routers(), gw.now())
         {
-            return Err(give_up(
-                *may_have_run,
-                "the repeats of the service are used up",
-            ));
+            return Err(give_up(stream, "the repeats of the service are used up"));
         }
         let Some(server) = choose(gw, req, &tried) else {
-            return Err(give_up(*may_have_run, "no backend server is available"));
+            return Err(give_up(stream, "no backend server is available"));
         };
         sends += 1;
         tried.push(server.id.clone());
@@ -328,28 +317,25 @@
         gw.ejection.borrow_mut().failed(&server.id, now);
         let id = &req.out.id;
         tracing::info!(id, server = %server.id, sends, not_run, cause, "request: attempt failed");
-        if !not_run {
-            *may_have_run = true;
-            runs += 1;
-        }
+        runs += u32::from(!not_run);
         let allowed = match not_run {
             true => sends < req.route.max_attempts + EXTRA_SENDS,
             false => req.route.kind.is_repeatable() && runs < req.route.max_attempts,
         };
         // What cannot be repeated and has run anywhere is over.
-        let allowed = allowed && (req.route.kind.is_repeatable() || !*may_have_run);
+        let allowed = allowed && (req.route.kind.is_repeatable() || !stream.meter.may_have_run());
         if !allowed || req.left(now).is_zero() {
             if stream.is_begun {
                 return Err(Stop::Broken(cause));
             }
-            return Err(give_up(*may_have_run, &cause));
+            return Err(give_up(stream, &cause));
         }
         counter!("fulmar_gateway_repeats_total").increment(1);
     }
 }
 
-fn give_up(may_have_run: bool, cause: &str) -> Stop {
-    let refusal = match may_have_run {
+fn give_up(stream: &relay::Stream, cause: &str) -> Stop {
+    let refusal = match stream.meter.may_have_run() {
         true => Refusal::new(Code::BackendFailed, cause),
         false => Refusal::new(Code::NoBackend, cause).retry_after(COME_BACK),
     };
@@ -403,14 +389,20 @@
 ) -> End {
     let left = req.left(gw.now());
     let last_event = stream.last_id.clone();
+    stream.meter.sending();
     let sent = exchange::attempt(gw, &req.out, server, left, last_event.as_deref()).await;
+    let not_run = match &sent {
+        Ok(answer) => headers::says_not_run(&answer.head),
+        Err(failure) => matches!(failure, exchange::Failure::NotRun(_)),
+    };
+    stream.meter.sent(!not_run);
     let mut answer = match sent {
         Ok(answer) => answer,
         Err(exchange::Failure::NotRun(cause)) => return End::NotRun(cause),
         Err(exchange::Failure::MayHaveRun(cause)) => return End::Failed(cause),
     };
     let status = answer.head.status;
-    if headers::says_not_run(&answer.head) {
+    if not_run {
         let drained = relay::read_plain(&mut answer).await;
         if drained.is_ok() {
             answer.finish(gw);
