--- a/src/coordination.rs
+++ b/src/coordination.rs
@@ -27,3 +27,4 @@
 pub mod roster;
 pub mod share;
 pub mod slots;
+pub mod store_route;
--- a/src/coordination/share.rs
+++ b/src/coordination/share.rs
@@ -1,34 +1,72 @@
 //! This router's share of a workspace's prepaid tokens: what it holds, spends, asks for and gives
-//! back.
+//! to other routers.
 //!
-//! Answers demand that moves between routers and a store that is out of reach for seconds: a share
-//! covers the demand measured here for [`AUTONOMY`], and shrinks as the budget runs out so that
-//! little is stranded.
+//! Answers demand that moves between routers, budgets that run out, and a store that is out of
+//! reach for seconds. One router, the budget's home, holds a reserve for the whole fleet; the
+//! others hold what they use in [`AHEAD`] and draw more from it, which costs no call of the store.
+//! Reserve and draws shrink as the budget runs out, so that little is stranded.
 
 use std::time::Duration;
 
-/// Time that a share must last without the store. Cuts of eight to nine seconds are usual.
-pub const AUTONOMY: Duration = Duration::from_secs(10);
+/// Time that the home's reserve lasts without the store. Outages of the whole store last five to
+/// six seconds; cuts last longer, but carriers reach the store meanwhile.
+pub const RESERVE: Duration = Duration::from_secs(6);
+
+/// Time that another router's share lasts without the home: a few tries to reach it.
+pub const AHEAD: Duration = Duration::from_secs(2);
 
 /// Time over which the measured demand fades; a wave of load takes about as long.
 const FADE: Duration = Duration::from_secs(4);
 
-/// Part of a budget that a router takes before it has seen any demand.
-const FIRST_PART: f64 = 0.01;
+/// Part of a budget that its home takes before it has seen any demand.
+const FIRST_PART: f64 = 0.05;
 
 /// Part of the target below which a share is filled up.
-const LOW_PART: f64 = 0.7;
-
-/// Multiple of the target above which tokens are given back.
-const IDLE_MULTIPLE: f64 = 2.5;
+const LOW_PART: f64 = 0.6;
+
+/// The reserve takes at most one part in this many of what nobody holds.
+const FREE_DIVISOR: u64 = 4;
+
+/// A draw takes, beyond what is needed, at most one part in this many of what the home holds.
+const DRAWN_DIVISOR: u64 = 16;
+
+/// Time for which a budget that was found exhausted counts as such, so that a flood of requests
+/// does not recall tokens for each.
+const EXHAUSTED_FOR: Duration = Duration::from_millis(300);
+
+/// A budget that was found exhausted.
+#[derive(Clone, Copy, Debug)]
+pub struct Exhausted {
+    /// Tokens ever paid for, as far as was known.
+    pub prepaid: u64,
+    /// Tokens that could not be had.
+    pub needed: u64,
+    /// When it was found.
+    pub at: Duration,
+}
 
-/// Multiple of the target that is kept when tokens are given back.
-const KEPT_MULTIPLE: f64 = 1.5;
+impl Exhausted {
+    /// Whether a request can be refused without asking again.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use fulmarproxy::coordination::share;
+    /// let found = share::Exhausted { prepaid: 100, needed: 10, at: Duration::ZERO };
+    /// assert!(found.covers(100, 10, Duration::ZERO));
+    /// assert!(!found.covers(200, 10, Duration::ZERO), "a top-up came");
+    /// ```
+    pub fn covers(&self, prepaid: u64, needed: u64, now: Duration) -> bool {
+        self.prepaid == prepaid && needed >= self.needed && now < self.at + EXHAUSTED_FOR
+    }
+}
 
 /// A router's share of one workspace's budget.
 #[derive(Clone, Debug, Default)]
 pub struct Share {
-    granted: u64,
+    /// Granted by the ledger, less what went back; negative when received tokens went back.
+    granted: i64,
+    received: u64,
+    given: u64,
     spent: u64,
     reserved: u64,
     rate: f64,
@@ -36,32 +74,23 @@
     largest: u64,
 }
 
-/// What a share looks like to others.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Figures {
-    /// Tokens ever granted to this router, less those given back.
-    pub granted: u64,
-    /// Tokens spent of these.
-    pub spent: u64,
-    /// Tokens set aside for requests that run.
-    pub reserved: u64,
-}
+impl Share {
+    /// Tokens that are neither spent, set aside nor given away.
+    pub fn available(&self) -> u64 {
+        let held = self.granted + self.received as i64 - self.given as i64;
+        u64::try_from(held)
+            .unwrap_or(0)
+            .saturating_sub(self.spent + self.reserved)
+    }
 
-impl Figures {
-    /// Tokens that are neither spent nor set aside.
-    pub fn available(self) -> u64 {
-        self.granted.saturating_sub(self.spent + self.reserved)
+    /// Net tokens that the ledger has granted.
+    pub fn granted(&self) -> i64 {
+        self.granted
     }
-}
 
-impl Share {
-    /// Figures as they are.
-    pub fn figures(&self) -> Figures {
-        Figures {
-            granted: self.granted,
-            spent: self.spent,
-            reserved: self.reserved,
-        }
+    /// Tokens spent here.
+    pub fn spent(&self) -> u64 {
+        self.spent
     }
 
     /// Sets tokens aside for a request at its most; false when there are not enough.
@@ -70,14 +99,14 @@
     /// use std::time::Duration;
     /// let mut share = fulmarproxy::coordination::share::Share::default();
     /// assert!(!share.reserve(10, Duration::ZERO));
-    /// share.add(10);
+    /// share.grant(10);
     /// assert!(share.reserve(10, Duration::ZERO));
     /// share.settle(10, 4);
-    /// assert_eq!(share.figures().available(), 6);
+    /// assert_eq!(share.available(), 6);
     /// ```
     pub fn reserve(&mut self, tokens: u64, now: Duration) -> bool {
         self.largest = self.largest.max(tokens);
-        if self.figures().available() < tokens {
+        if self.available() < tokens {
             return false;
         }
         self.reserved += tokens;
@@ -91,7 +120,7 @@
         self.spent += spent;
     }
 
-    /// Counts demand that could not be served from here as well.
+    /// Counts demand.
     pub fn note(&mut self, tokens: u64, now: Duration) {
         self.rate = self.rate_at(now) + tokens as f64 / FADE.as_secs_f64();
         self.rated_at = now;
@@ -102,47 +131,83 @@
         self.rate * (-elapsed / FADE.as_secs_f64()).exp()
     }
 
-    /// Adds granted tokens.
-    pub fn add(&mut self, tokens: u64) {
-        self.granted += tokens;
-    }
-
-    /// Takes up to `most` available tokens out of the share; returns how many.
-    pub fn remove(&mut self, most: u64) -> u64 {
-        let removed = most.min(self.figures().available());
-        self.granted -= removed;
-        removed
+    /// Adds tokens that the ledger granted.
+    pub fn grant(&mut self, tokens: u64) {
+        self.granted += tokens as i64;
     }
 
-    /// Tokens that the share should hold.
-    pub fn target(&self, prepaid: u64, now: Duration) -> u64 {
-        let ahead = self.rate_at(now) * AUTONOMY.as_secs_f64();
-        let first = prepaid as f64 * FIRST_PART;
-        (ahead.max(first) as u64).max(self.largest)
+    /// Adds tokens that another router gave.
+    pub fn receive(&mut self, tokens: u64) {
+        self.received += tokens;
     }
 
-    /// Tokens to ask for; 0 while the share lasts.
+    /// Gives another router what it needs and, beyond it, some of what it would like; returns how
+    /// many tokens. They are out of this share whether or not the answer arrives.
     ///
-    /// `free` are the tokens that nobody holds, `routers` how many may ask for them.
-    pub fn wanted(&self, prepaid: u64, free: u64, routers: usize, now: Duration) -> u64 {
-        let target = self.target(prepaid, now);
-        let available = self.figures().available();
-        if available as f64 >= target as f64 * LOW_PART {
+    /// ```
+    /// use std::time::Duration;
+    /// let mut share = fulmarproxy::coordination::share::Share::default();
+    /// share.grant(1000);
+    /// assert_eq!(share.give(100, 900, Duration::ZERO), 156);
+    /// assert_eq!(share.available(), 844);
+    /// ```
+    pub fn give(&mut self, needed: u64, extra: u64, now: Duration) -> u64 {
+        self.largest = self.largest.max(needed);
+        self.note(needed, now);
+        let available = self.available();
+        if available < needed {
             return 0;
         }
-        // An even part of what is free, so that the last tokens are not stranded at one router.
-        let even = free / (routers.max(1) as u64 + 1);
-        let least = self.largest.saturating_sub(available);
-        (target - available).min(even.max(least)).min(free)
-    }
-
-    /// Tokens to give back because the demand has gone.
-    pub fn idle(&self, prepaid: u64, now: Duration) -> u64 {
-        let target = self.target(prepaid, now) as f64;
-        let available = self.figures().available() as f64;
-        match available > target * IDLE_MULTIPLE {
-            true => (available - target * KEPT_MULTIPLE) as u64,
-            false => 0,
-        }
+        let beyond = (available - needed)
+            .min(extra)
+            .min(available / DRAWN_DIVISOR);
+        // The rest of a small budget is not taken apart.
+        let beyond = beyond.min(available - needed);
+        let given = needed + beyond;
+        self.note(beyond, now);
+        self.given += given;
+        given
+    }
+
+    /// Gives away all that is available.
+    pub fn give_all(&mut self) -> u64 {
+        let given = self.available();
+        self.given += given;
+        given
+    }
+
+    /// Takes all available tokens out, to give them back to the ledger; returns how many.
+    pub fn release(&mut self) -> u64 {
+        let released = self.available();
+        self.granted -= released as i64;
+        released
+    }
+
+    /// Tokens that cover the demand here for some time.
+    pub fn ahead(&self, time: Duration, now: Duration) -> u64 {
+        (self.rate_at(now) * time.as_secs_f64()) as u64
+    }
+
+    /// Tokens that a router other than the home would like to draw; 0 while its share lasts.
+    pub fn draws(&self, now: Duration) -> u64 {
+        short_of(self.ahead(AHEAD, now), self.available())
+    }
+
+    /// Tokens that the home asks the ledger for; 0 while its reserve lasts.
+    ///
+    /// `free` are the tokens that nobody holds, `needed` what must be had at once.
+    pub fn wanted(&self, prepaid: u64, free: u64, needed: u64, now: Duration) -> u64 {
+        let first = (prepaid as f64 * FIRST_PART) as u64;
+        let target = self.ahead(RESERVE, now).max(first);
+        let short = short_of(target, self.available()).min(free / FREE_DIVISOR);
+        let needed = needed.saturating_sub(self.available());
+        short.max(needed).min(free)
+    }
+}
+
+fn short_of(target: u64, available: u64) -> u64 {
+    match available as f64 >= target as f64 * LOW_PART {
+        true => 0,
+        false => target - available,
     }
 }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -2,7 +2,7 @@
 
 use std::process::ExitCode;
 
-use crate::{agent, error, flags, gateway, logging, platform, router, settings};
+use crate::{agent, carrier, error, flags, gateway, logging, platform, router, settings};
 
 const EXIT_USAGE: u8 = 2;
 
@@ -13,8 +13,10 @@
 /// assert_eq!(code, std::process::ExitCode::SUCCESS);
 /// ```
 pub fn main(args: &[String]) -> ExitCode {
-    if args.first().is_some_and(|role| role == "gateway") {
-        return run_gateway(&args[1..]);
+    match args.first().map(String::as_str) {
+        Some("gateway") => return run_placed(PlacedRole::Gateway, &args[1..]),
+        Some("carrier") => return run_placed(PlacedRole::Carrier, &args[1..]),
+        _ => (),
     }
     match settings::parse(args, &|name| std::env::var(name).ok()) {
         Ok(settings::Command::Print(text)) => {
@@ -33,7 +35,14 @@
     }
 }
 
-const GATEWAY_FLAGS: &[flags::Flag] = &[
+/// A role whose settings the platform writes.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum PlacedRole {
+    Gateway,
+    Carrier,
+}
+
+const PLACED_FLAGS: &[flags::Flag] = &[
     flags::value(
         "settings",
         "PATH",
@@ -47,8 +56,8 @@
     flags::switch("check-settings", "Check the settings file and exit"),
 ];
 
-fn run_gateway(args: &[String]) -> ExitCode {
-    match gateway_main(args) {
+fn run_placed(role: PlacedRole, args: &[String]) -> ExitCode {
+    match placed_main(role, args) {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
             eprintln!("fulmard: {err}.");
@@ -63,12 +72,12 @@
     }
 }
 
-fn gateway_main(args: &[String]) -> Result<(), error::Error> {
-    let matches = flags::parse(GATEWAY_FLAGS, args)?;
+fn placed_main(role: PlacedRole, args: &[String]) -> Result<(), error::Error> {
+    let matches = flags::parse(PLACED_FLAGS, args)?;
     if matches.opt_present("help") {
         print!(
-            "Usage: fulmard gateway [FLAGS]\n\n{}",
-            flags::help(GATEWAY_FLAGS)
+            "Usage: fulmard gateway|carrier [FLAGS]\n\n{}",
+            flags::help(PLACED_FLAGS)
         );
         return Ok(());
     }
@@ -80,12 +89,18 @@
         message: format!("--settings is missing, and so is the variable {variable}"),
     })?;
     if matches.opt_present("check-settings") {
-        platform::settings::read(&path)?;
+        match role {
+            PlacedRole::Gateway => platform::settings::read(&path).map(drop)?,
+            PlacedRole::Carrier => platform::settings::read_carrier(&path).map(drop)?,
+        }
         println!("The settings are valid.");
         return Ok(());
     }
     let log = matches.opt_str("log").unwrap_or_else(|| "info".to_owned());
-    gateway::run(&path, &log)
+    match role {
+        PlacedRole::Gateway => gateway::run(&path, &log),
+        PlacedRole::Carrier => carrier::run(&path, &log),
+    }
 }
 
 fn run(settings: settings::Settings) -> ExitCode {
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -2,7 +2,7 @@
 //!
 //! The platform's store holds the configuration, the list of backend servers and the ledgers of
 //! budgets. Modules, each using only those after it: [`front`], [`request`], [`relay`],
-//! [`exchange`], [`budget`], [`directory`], [`follow`], [`fleet`], [`core`].
+//! [`exchange`], [`budget`], [`ledger`], [`draw`], [`follow`], [`directory`], [`fleet`], [`core`].
 
 use std::rc::Rc;
 
@@ -11,10 +11,12 @@
 pub mod budget;
 pub mod core;
 pub mod directory;
+pub mod draw;
 pub mod exchange;
 pub mod fleet;
 pub mod follow;
 pub mod front;
+pub mod ledger;
 pub mod pages;
 pub mod refusal;
 pub mod relay;
@@ -47,13 +49,13 @@
     follow::start(&gw);
     directory::start(&gw);
     fleet::start(&gw);
-    budget::start(&gw);
+    budget::start(&gw).await?;
     front::start(&gw, listener);
     let vm = &settings.vm;
     tracing::info!(%vm, incarnation = gw.incarnation, "gateway: started");
     signals::obey(&gw, path, &signals).await;
     front::drain(&gw).await;
-    budget::close(&gw).await;
+    ledger::close(&gw).await;
     fleet::leave(&gw).await;
     tracing::info!(%vm, "gateway: stopped");
     Ok(())
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -1,30 +1,28 @@
-//! Shares of prepaid budgets: filled from the store's ledgers, spent by requests, given back.
+//! Budgets: tokens are set aside for requests, drawn from the budget's home, and counted as spent.
+//!
+//! The home of a budget is the first live router in an order that all routers share. It holds the
+//! fleet's reserve and alone writes the ledger while it is reachable; see
+//! [`share`](crate::coordination::share).
 
-use std::{collections::BTreeMap, rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use metrics::{counter, gauge};
+use metrics::counter;
 
 use crate::{
-    coordination::share,
-    gateway::core,
-    platform::store,
-    state::{name, share_ledger},
+    coordination::{rendezvous, share},
+    error,
+    gateway::{core, draw, ledger},
+    state::name,
 };
 
-/// Prefix of the ledgers.
-pub const PREFIX: &str = "fulmar/budgets/";
-
 /// How often the shares are looked at.
 const LOOK_EVERY: Duration = Duration::from_millis(500);
 
-/// Workspaces in one write; the store takes 32 entries.
-const BATCH: usize = 12;
-
-/// Tries of one write against other routers' writes.
-const TRIES: usize = 6;
+/// Pause after a failed fill.
+const PAUSE: Duration = Duration::from_millis(500);
 
-/// Longest time that a request waits for tokens; a refill takes two calls of a few milliseconds.
-const WAIT: Duration = Duration::from_millis(400);
+/// Longest time that a request waits for tokens: a draw, a fill and a recall.
+const WAIT: Duration = Duration::from_millis(700);
 
 /// Tokens set aside for a request; what was not spent goes back when it is dropped.
 pub struct Reservation {
@@ -108,20 +106,7 @@
     Unreachable,
 }
 
-/// What the ledger said when it was last read.
-#[derive(Clone, Copy, Debug, Default)]
-struct Seen {
-    free: u64,
-    at: Duration,
-}
-
-thread_local! {
-    static SEEN: std::cell::RefCell<BTreeMap<name::Name, Seen>> = const {
-        std::cell::RefCell::new(BTreeMap::new())
-    };
-}
-
-/// Sets tokens aside, waiting shortly for a refill.
+/// Sets tokens aside, drawing some from other routers or the ledger when it must.
 ///
 /// # Errors
 ///
@@ -131,282 +116,269 @@
     workspace: &name::Name,
     tokens: u64,
 ) -> Result<Reservation, Short> {
-    let asked_at = gw.now();
-    let mut noted = false;
-    loop {
-        let listener = gw.refilled.listen();
-        let now = gw.now();
-        {
-            let mut shares = gw.shares.borrow_mut();
-            let share = shares.entry(workspace.clone()).or_default();
-            if share.reserve(tokens, now) {
-                return Ok(Reservation {
-                    gw: gw.clone(),
-                    workspace: workspace.clone(),
-                    reserved: tokens,
-                    spent: 0,
-                });
-            }
-            if !noted {
-                share.note(tokens, now);
-                noted = true;
-            }
-        }
-        let seen = SEEN.with_borrow(|seen| seen.get(workspace).copied());
-        if let Some(seen) = seen
-            && seen.at >= asked_at
-            && seen.free == 0
-        {
-            return Err(Short::Exhausted);
-        }
-        let left = WAIT.saturating_sub(now - asked_at);
-        // The filler takes one wake-up at a time; a full channel means that one is due.
-        let _ = gw.refill.0.try_send(());
-        if left.is_zero() || gw.timers.within(left, listener).await.is_none() {
-            return Err(Short::Unreachable);
-        }
+    if let Some(reservation) = take(gw, workspace, tokens) {
+        return Ok(reservation);
+    }
+    let obtained = gw.timers.within(WAIT, obtain(gw, workspace, tokens)).await;
+    match take(gw, workspace, tokens) {
+        Some(reservation) => Ok(reservation),
+        None => Err(match obtained {
+            Some(Obtained::Exhausted) => Short::Exhausted,
+            _ => Short::Unreachable,
+        }),
     }
 }
 
-/// Starts the task that fills shares and gives back idle ones.
-pub fn start(gw: &Rc<core::Gateway>) {
-    let filling = gw.clone();
-    gw.spawn(async move {
-        loop {
-            filling
-                .timers
-                .within(LOOK_EVERY, filling.refill.1.recv())
-                .await;
-            if let Err(err) = look(&filling).await {
-                counter!("fulmar_gateway_store_failures_total", "part" => "budget").increment(1);
-                tracing::warn!(%err, "budget: shares not filled");
-                filling.timers.sleep(LOOK_EVERY).await;
-            }
-        }
-    });
+fn take(gw: &Rc<core::Gateway>, workspace: &name::Name, tokens: u64) -> Option<Reservation> {
+    let mut shares = gw.shares.borrow_mut();
+    let share = shares.entry(workspace.clone()).or_default();
+    share.reserve(tokens, gw.now()).then(|| Reservation {
+        gw: gw.clone(),
+        workspace: workspace.clone(),
+        reserved: tokens,
+        spent: 0,
+    })
 }
 
-/// What is to change of one workspace's share.
-struct Change {
-    workspace: name::Name,
-    prepaid: u64,
+/// What came of an attempt to get tokens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Obtained {
+    Some,
+    Exhausted,
+    Nothing,
 }
 
-/// Fills the shares that run low and gives back the idle ones.
-async fn look(gw: &Rc<core::Gateway>) -> Result<(), store::StoreError> {
-    let Some(deployment) = gw.deployment() else {
-        return Ok(());
-    };
-    let now = gw.now();
-    let mut changes = Vec::new();
-    for workspace in deployment.workspaces.values() {
-        let Some(prepaid) = workspace.prepaid_tokens else {
-            continue;
-        };
-        let mut shares = gw.shares.borrow_mut();
-        let share = shares.entry(workspace.name.clone()).or_default();
-        let low = share.wanted(prepaid, u64::MAX, 1, now) > 0;
-        let spent_out = SEEN.with_borrow(|seen| {
-            let seen = seen.get(&workspace.name);
-            seen.is_some_and(|seen| seen.free == 0 && now < seen.at + LOOK_EVERY)
-        });
-        if low && !spent_out || share.idle(prepaid, now) > 0 {
-            let workspace = workspace.name.clone();
-            changes.push(Change { workspace, prepaid });
-        }
-    }
-    for batch in changes.chunks(BATCH) {
-        change(gw, batch).await?;
-    }
-    Ok(())
+/// Another router, or this one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Router {
+    Own,
+    Other(SocketAddr),
 }
 
-fn key(workspace: &str) -> String {
-    format!("{PREFIX}{workspace}")
+/// Routers in the order in which they are a budget's home.
+fn homes(gw: &core::Gateway, workspace: &str) -> Vec<Router> {
+    let hash = rendezvous::weight(workspace, 0);
+    let own = gw.holder();
+    let peers = gw.peers.borrow();
+    let mut names: Vec<name::Name> = peers.keys().map(|peer| name::Name::from(&**peer)).collect();
+    names.push(name::Name::from(&*own));
+    let order = rendezvous::order(names, hash).into_iter();
+    let routers = order.filter_map(|name| match *name == *own {
+        true => Some(Router::Own),
+        false => peers.get(&*name).map(|address| Router::Other(*address)),
+    });
+    routers.collect()
 }
 
-/// Tokens that a write would grant, by workspace.
-type Grants = Vec<(name::Name, u64)>;
-
-/// Writes the changed holdings of some workspaces.
-async fn change(gw: &Rc<core::Gateway>, batch: &[Change]) -> Result<(), store::StoreError> {
-    // Tokens that go back are out of the share before the write: it may be done unseen.
-    give_back(gw, batch);
-    let mut items: Vec<store::Item> = batch
-        .iter()
-        .map(|change| store::Item {
-            key: key(&change.workspace),
-            value: Vec::new(),
-            revision: 0,
-        })
-        .collect();
-    for _ in 0..TRIES {
-        let (write, grants) = plan(gw, batch, &items);
-        if write.puts.is_empty() {
-            gw.refilled.notify(usize::MAX);
-            return Ok(());
-        }
-        match gw.store.write(&write).await? {
-            store::Written::Done => {
-                add(gw, &grants);
-                return Ok(());
+/// Gets tokens from the home, or does the home's work when no router before this one answers.
+async fn obtain(gw: &Rc<core::Gateway>, workspace: &name::Name, needed: u64) -> Obtained {
+    for home in homes(gw, workspace) {
+        match home {
+            Router::Own => return obtain_as_home(gw, workspace, needed).await,
+            Router::Other(peer) if draw::may_ask(gw, peer) => {
+                if let Some(given) = draw_from(gw, peer, workspace, needed).await {
+                    return match given {
+                        given if given.tokens > 0 => Obtained::Some,
+                        given if given.is_exhausted => Obtained::Exhausted,
+                        _ => Obtained::Nothing,
+                    };
+                }
             }
-            store::Written::Conflict(found) => items = found,
-            store::Written::LeaseEnded => return Ok(()),
+            Router::Other(_) => (),
         }
     }
-    counter!("fulmar_gateway_ledger_conflicts_total").increment(1);
-    tracing::info!(
-        workspaces = batch.len(),
-        "budget: other routers' writes came first"
-    );
-    Ok(())
+    Obtained::Nothing
 }
 
-fn give_back(gw: &core::Gateway, batch: &[Change]) {
-    let now = gw.now();
-    let mut shares = gw.shares.borrow_mut();
-    for change in batch {
-        let share = shares.entry(change.workspace.clone()).or_default();
-        let idle = share.idle(change.prepaid, now);
-        let removed = share.remove(idle);
-        if removed > 0 {
-            let workspace = &change.workspace;
-            counter!("fulmar_gateway_tokens_given_back_total").increment(removed);
-            tracing::info!(%workspace, removed, "budget: idle tokens given back");
-        }
+async fn draw_from(
+    gw: &core::Gateway,
+    peer: SocketAddr,
+    workspace: &name::Name,
+    needed: u64,
+) -> Option<draw::Given> {
+    let extra = {
+        let mut shares = gw.shares.borrow_mut();
+        let share = shares.entry(workspace.clone()).or_default();
+        share.ahead(share::AHEAD, gw.now())
+    };
+    let workspace = workspace.clone();
+    let call = draw::Call::Draw {
+        workspace: workspace.clone(),
+        needed,
+        extra,
+    };
+    let given = draw::call(gw, peer, &call).await?;
+    receive(gw, &workspace, given.tokens);
+    Some(given)
+}
+
+fn receive(gw: &core::Gateway, workspace: &name::Name, tokens: u64) {
+    if tokens == 0 {
+        return;
     }
+    let mut shares = gw.shares.borrow_mut();
+    let share = shares.entry(workspace.clone()).or_default();
+    share.receive(tokens);
+    let available = share.available();
+    counter!("fulmar_gateway_tokens_drawn_total").increment(tokens);
+    tracing::info!(%workspace, tokens, available, "budget: share grew from a router");
 }
 
-/// Plans the write that brings the ledgers up to date, with what it grants.
-fn plan(gw: &core::Gateway, batch: &[Change], items: &[store::Item]) -> (store::Write, Grants) {
-    let now = gw.now();
-    let holder = gw.holder();
-    let routers = gw.routers();
+fn available(gw: &core::Gateway, workspace: &str) -> u64 {
     let shares = gw.shares.borrow();
-    let mut write = store::Write::default();
-    let mut grants = Vec::new();
-    for change in batch {
-        let key = key(&change.workspace);
-        let Some(item) = items.iter().find(|item| item.key == key) else {
-            continue;
-        };
-        let Some(mut ledger) = decode(item) else {
-            continue;
-        };
-        let figures = shares.get(&change.workspace).map(share::Share::figures);
-        let figures = figures.unwrap_or_default();
-        let holding = ledger.holders.entry(holder.clone()).or_default();
-        holding.granted = figures.granted;
-        holding.spent = figures.spent;
-        let free = change.prepaid.saturating_sub(ledger.granted());
-        let share = shares.get(&change.workspace).cloned().unwrap_or_default();
-        let wanted = share.wanted(change.prepaid, free, routers, now);
-        let holding = ledger.holders.entry(holder.clone()).or_default();
-        holding.granted += wanted;
-        SEEN.with_borrow_mut(|seen| {
-            let free = free - wanted;
-            seen.insert(change.workspace.clone(), Seen { free, at: now });
-        });
-        // An item with revision 0 may only not have been read yet; the condition tells.
-        write.expected.push((key.clone(), item.revision));
-        let value = serde_json::to_vec(&ledger).unwrap_or_default();
-        write.puts.push((key, value));
-        grants.push((change.workspace.clone(), wanted));
-    }
-    (write, grants)
+    shares.get(workspace).map_or(0, share::Share::available)
 }
 
-/// The ledger of an item; `None`, and no grant, when it does not parse.
-fn decode(item: &store::Item) -> Option<share_ledger::ShareLedger> {
-    if item.revision == 0 {
-        return Some(share_ledger::ShareLedger::default());
+/// Gets tokens from the ledger and, when it has none left, from the other routers' shares.
+async fn obtain_as_home(gw: &Rc<core::Gateway>, workspace: &name::Name, needed: u64) -> Obtained {
+    let Some(prepaid) = prepaid(gw, workspace) else {
+        return Obtained::Nothing;
+    };
+    if is_known_exhausted(gw, workspace, prepaid, needed) {
+        return Obtained::Exhausted;
+    }
+    let fill = ledger::Fill {
+        workspace: workspace.clone(),
+        prepaid,
+        needed,
+    };
+    let filled = ledger::fill(gw, &[fill]).await;
+    if available(gw, workspace) >= needed {
+        return Obtained::Some;
+    }
+    let all_answered = recall(gw, workspace).await;
+    if available(gw, workspace) >= needed {
+        return Obtained::Some;
     }
-    match serde_json::from_slice(&item.value) {
-        Ok(ledger) => Some(ledger),
+    match filled {
+        Ok(()) => {
+            tracing::info!(%workspace, needed, prepaid, all_answered, "budget: exhausted");
+            let at = gw.now();
+            let exhausted = share::Exhausted {
+                prepaid,
+                needed,
+                at,
+            };
+            gw.exhausted
+                .borrow_mut()
+                .insert(workspace.clone(), exhausted);
+            Obtained::Exhausted
+        }
         Err(err) => {
-            tracing::error!(key = item.key, %err, "budget: ledger does not parse, nothing granted");
-            None
+            counter!("fulmar_gateway_store_failures_total", "part" => "budget").increment(1);
+            tracing::warn!(%workspace, %err, "budget: share not filled");
+            Obtained::Nothing
         }
     }
 }
 
-fn add(gw: &core::Gateway, grants: &Grants) {
-    let mut shares = gw.shares.borrow_mut();
-    for (workspace, tokens) in grants {
-        let share = shares.entry(workspace.clone()).or_default();
-        share.add(*tokens);
-        if *tokens > 0 {
-            let available = share.figures().available();
-            counter!("fulmar_gateway_tokens_granted_total").increment(*tokens);
-            tracing::info!(%workspace, tokens, available, "budget: share grew");
-        }
-    }
-    let held: u64 = shares
-        .values()
-        .map(|share| share.figures().available())
-        .sum();
-    gauge!("fulmar_gateway_tokens_held").set(held as f64);
-    drop(shares);
-    gw.refilled.notify(usize::MAX);
+fn is_known_exhausted(gw: &core::Gateway, workspace: &str, prepaid: u64, needed: u64) -> bool {
+    let known = gw.exhausted.borrow();
+    let now = gw.now();
+    let known = known.get(workspace);
+    known.is_some_and(|known| known.covers(prepaid, needed, now))
 }
 
-/// Gives back all that is left before the process ends.
-pub async fn close(gw: &Rc<core::Gateway>) {
-    let Some(deployment) = gw.deployment() else {
-        return;
+/// Asks every other router for what it has of a budget; false when one did not answer.
+async fn recall(gw: &core::Gateway, workspace: &name::Name) -> bool {
+    let peers: Vec<SocketAddr> = gw.peers.borrow().values().copied().collect();
+    let asked = peers.into_iter().filter(|peer| draw::may_ask(gw, *peer));
+    let call = draw::Call::Recall {
+        workspace: workspace.clone(),
     };
-    let budgets = deployment.workspaces.values().filter_map(|workspace| {
-        Some(Change {
-            workspace: workspace.name.clone(),
-            prepaid: workspace.prepaid_tokens?,
-        })
-    });
-    let batch: Vec<Change> = budgets.collect();
-    {
-        let mut shares = gw.shares.borrow_mut();
-        for share in shares.values_mut() {
-            share.remove(u64::MAX);
+    let calls = asked.map(|peer| draw::call(gw, peer, &call));
+    let given = futures::future::join_all(calls).await;
+    let tokens = given.iter().flatten().map(|given| given.tokens).sum();
+    receive(gw, workspace, tokens);
+    given.iter().all(Option::is_some)
+}
+
+fn prepaid(gw: &core::Gateway, workspace: &str) -> Option<u64> {
+    let deployment = gw.deployment()?;
+    deployment.workspaces.get(workspace)?.prepaid_tokens
+}
+
+/// Answers another router.
+async fn answer(gw: &Rc<core::Gateway>, call: draw::Call) -> draw::Given {
+    let (tokens, is_exhausted) = match call {
+        draw::Call::Draw {
+            workspace,
+            needed,
+            extra,
+        } => {
+            let mut exhausted = false;
+            if available(gw, &workspace) < needed {
+                let obtained = obtain_as_home(gw, &workspace, needed).await;
+                exhausted = obtained == Obtained::Exhausted;
+            }
+            let mut shares = gw.shares.borrow_mut();
+            let share = shares.entry(workspace).or_default();
+            (share.give(needed, extra, gw.now()), exhausted)
         }
-    }
-    for batch in batch.chunks(BATCH) {
-        if let Err(err) = close_holdings(gw, batch).await {
-            tracing::warn!(%err, "budget: tokens not given back at the end");
+        draw::Call::Recall { workspace } => {
+            let mut shares = gw.shares.borrow_mut();
+            (shares.entry(workspace).or_default().give_all(), false)
         }
+    };
+    draw::Given {
+        tokens,
+        is_exhausted,
     }
 }
 
-/// Moves this router's spent tokens to the closed part of the ledgers.
-async fn close_holdings(gw: &core::Gateway, batch: &[Change]) -> Result<(), store::StoreError> {
-    let mut items: Vec<store::Item> = Vec::new();
-    for _ in 0..TRIES {
-        let write = plan_closing(gw, batch, &items);
-        match gw.store.write(&write).await? {
-            store::Written::Conflict(found) => items = found,
-            store::Written::Done | store::Written::LeaseEnded => return Ok(()),
+/// Starts to answer other routers and to keep the shares filled.
+///
+/// # Errors
+///
+/// The socket's error.
+pub async fn start(gw: &Rc<core::Gateway>) -> Result<(), error::Error> {
+    let listener = async_net::TcpListener::bind(gw.settings().fleet_listen).await?;
+    gw.spawn(draw::serve(gw.clone(), listener, answer));
+    let filling = gw.clone();
+    gw.spawn(async move {
+        loop {
+            filling.timers.sleep(LOOK_EVERY).await;
+            look(&filling).await;
         }
-    }
-    tracing::warn!("budget: other routers' writes came first, tokens not given back at the end");
+    });
     Ok(())
 }
 
-fn plan_closing(gw: &core::Gateway, batch: &[Change], items: &[store::Item]) -> store::Write {
-    let holder = gw.holder();
-    let shares = gw.shares.borrow();
-    let mut write = store::Write::default();
-    for change in batch {
-        let key = key(&change.workspace);
-        let item = items.iter().find(|item| item.key == key);
-        let revision = item.map_or(0, |item| item.revision);
-        let Some(mut ledger) = item.map_or_else(|| Some(Default::default()), decode) else {
+/// Fills the reserves of the budgets at home here, and draws for the others.
+async fn look(gw: &Rc<core::Gateway>) {
+    let Some(deployment) = gw.deployment() else {
+        return;
+    };
+    let mut fills = Vec::new();
+    for workspace in deployment.workspaces.values() {
+        let Some(prepaid) = workspace.prepaid_tokens else {
             continue;
         };
-        ledger.holders.remove(&holder);
-        let share = shares.get(&change.workspace);
-        ledger.closed += share.map_or(0, |share| share.figures().granted);
-        write.expected.push((key.clone(), revision));
-        let value = serde_json::to_vec(&ledger).unwrap_or_default();
-        write.puts.push((key, value));
+        let name = &workspace.name;
+        let first = homes(gw, name).into_iter().find(|home| match home {
+            Router::Own => true,
+            Router::Other(peer) => draw::may_ask(gw, *peer),
+        });
+        let share = gw.shares.borrow().get(name).cloned().unwrap_or_default();
+        let now = gw.now();
+        match first {
+            Some(Router::Other(peer)) => {
+                let extra = share.draws(now);
+                if extra > 0 && !is_known_exhausted(gw, name, prepaid, 0) {
+                    draw_from(gw, peer, name, 0).await;
+                }
+            }
+            _ if share.wanted(prepaid, u64::MAX, 0, now) > 0 => fills.push(ledger::Fill {
+                workspace: name.clone(),
+                prepaid,
+                needed: 0,
+            }),
+            _ => (),
+        }
+    }
+    if let Err(err) = ledger::fill(gw, &fills).await {
+        counter!("fulmar_gateway_store_failures_total", "part" => "budget").increment(1);
+        tracing::warn!(%err, "budget: shares not filled");
+        gw.timers.sleep(PAUSE).await;
     }
-    write
 }
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -4,18 +4,22 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
+    net::SocketAddr,
     rc::Rc,
     sync::Arc,
     time::Duration,
 };
 
 use crate::{
-    coordination::{crashes, ejection, placing, repeats, share},
+    coordination::{crashes, ejection, placing, repeats, share, store_route},
     platform,
     state::{deployment, name, server},
     transport::{h1::pool, timers},
 };
 
+/// Time for which routers that are no longer listed still count among those that share limits.
+const ROUTERS_REMEMBERED: Duration = Duration::from_secs(30);
+
 /// Backend servers as this router knows them.
 #[derive(Default)]
 pub struct Known {
@@ -25,6 +29,32 @@
     pub is_read: bool,
 }
 
+/// Lets the client of the store ask for its way, and logs when the way changes.
+pub fn way(
+    route: &Rc<RefCell<store_route::StoreRoute>>,
+    timers: &timers::Timers,
+) -> platform::store::Way {
+    let asked = (route.clone(), timers.clone());
+    let told = (route.clone(), timers.clone());
+    platform::store::Way {
+        next: Box::new(move || asked.0.borrow_mut().next(asked.1.now())),
+        ended: Box::new(move |address, answered| {
+            let now = told.1.now();
+            let mut route = told.0.borrow_mut();
+            let was_straight = route.is_straight(now);
+            match answered {
+                true => route.answered(address),
+                false => route.failed(address, now),
+            }
+            match (was_straight, route.is_straight(now)) {
+                (true, false) => tracing::warn!(%address, "store: lost, trying carriers"),
+                (false, true) => tracing::info!(%address, "store: reached straight again"),
+                _ => (),
+            }
+        }),
+    }
+}
+
 /// Everything that the parts of a gateway share.
 pub struct Gateway {
     settings: RefCell<platform::settings::Settings>,
@@ -34,6 +64,8 @@
     pub timers: timers::Timers,
     /// Client of the platform's store.
     pub store: platform::store::Store,
+    /// Ways to the store.
+    pub route: Rc<RefCell<store_route::StoreRoute>>,
     /// Configuration in force; `None` before the first.
     pub deployment: RefCell<Option<Arc<deployment::Deployment>>>,
     /// Backend servers.
@@ -51,15 +83,18 @@
     /// Idle connections to backend servers.
     pub pool: RefCell<pool::Pool>,
     /// Other routers: address of their fleet listener by `vm/incarnation`.
-    pub peers: RefCell<HashMap<String, std::net::SocketAddr>>,
+    pub peers: RefCell<HashMap<String, SocketAddr>>,
     /// Requests that are being answered.
     pub in_flight: Cell<usize>,
     /// Whether the process is to stop.
     pub is_leaving: Cell<bool>,
-    /// Wakes the task that fills shares.
-    pub refill: (async_channel::Sender<()>, async_channel::Receiver<()>),
-    /// Wakes requests that wait for tokens.
-    pub refilled: event_listener::Event,
+    /// Ledgers of budgets as they were last seen.
+    pub ledgers: RefCell<HashMap<name::Name, platform::store::Item>>,
+    /// Budgets that were found exhausted.
+    pub exhausted: RefCell<HashMap<name::Name, share::Exhausted>>,
+    /// Routers that did not answer, and until when they are passed over.
+    pub silent_peers: RefCell<HashMap<SocketAddr, Duration>>,
+    routers_seen: Cell<(usize, Duration)>,
     /// Tells idle connections that the process is to stop.
     pub leaving: event_listener::Event,
     executor: Rc<smol::LocalExecutor<'static>>,
@@ -72,12 +107,14 @@
         executor: Rc<smol::LocalExecutor<'static>>,
     ) -> Rc<Self> {
         let timers = timers::Timers::default();
-        let store = platform::store::Store::new(settings.store, timers.clone());
+        let route = Rc::new(RefCell::new(store_route::StoreRoute::new(settings.store)));
+        let store = platform::store::Store::new(way(&route, &timers), timers.clone());
         Rc::new(Self {
             settings: RefCell::new(settings),
             incarnation: fastrand::u64(1..),
             timers,
             store,
+            route,
             deployment: RefCell::default(),
             known: RefCell::default(),
             placing: RefCell::default(),
@@ -89,8 +126,10 @@
             peers: RefCell::default(),
             in_flight: Cell::new(0),
             is_leaving: Cell::new(false),
-            refill: async_channel::bounded(1),
-            refilled: event_listener::Event::new(),
+            ledgers: RefCell::default(),
+            exhausted: RefCell::default(),
+            silent_peers: RefCell::default(),
+            routers_seen: Cell::default(),
             leaving: event_listener::Event::new(),
             executor,
         })
@@ -103,7 +142,7 @@
 
     /// Takes changed settings.
     pub fn reload(&self, settings: platform::settings::Settings) {
-        self.store.move_to(settings.store);
+        self.route.borrow_mut().move_to(settings.store);
         *self.settings.borrow_mut() = settings;
     }
 
@@ -127,9 +166,20 @@
         format!("{}/{:x}", self.settings.borrow().vm, self.incarnation)
     }
 
-    /// Routers of the fleet, this one included.
+    /// Takes the list of the other routers.
+    pub fn note_peers(&self, peers: HashMap<String, SocketAddr>) {
+        let (most, at) = self.routers_seen.get();
+        let count = peers.len() + 1;
+        if count >= most || self.now() > at + ROUTERS_REMEMBERED {
+            self.routers_seen.set((count, self.now()));
+        }
+        *self.peers.borrow_mut() = peers;
+    }
+
+    /// Routers of the fleet, this one included: the most that were listed lately, since entries
+    /// lapse while the store is away.
     pub fn routers(&self) -> usize {
-        self.peers.borrow().len() + 1
+        self.routers_seen.get().0.max(1)
     }
 
     /// The fleet's allowance of repeats.
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -1,10 +1,11 @@
 //! Follows the list of backend servers in the store.
 
-use std::{collections::HashSet, rc::Rc, sync::Arc, time::Duration};
+use std::{collections::HashSet, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use metrics::{counter, gauge};
 
 use crate::{
+    coordination::rendezvous,
     gateway::core,
     platform::{servers, store},
     state::{name, server},
@@ -100,6 +101,8 @@
     tracing::info!(%id, %service, %address, takes_work, "directory: backend server listed");
     known.servers.insert(found.id.clone(), Arc::new(found));
     gauge!("fulmar_gateway_servers").set(known.servers.len() as f64);
+    drop(known);
+    offer_carriers(gw);
 }
 
 fn missing(gw: &Rc<core::Gateway>, key: &str, forgiven_until: Duration) {
@@ -146,6 +149,27 @@
     }
 }
 
+/// Tells the way to the store which members could carry calls. One listens beside each model
+/// engine, at the fleet's port of that machine.
+pub fn offer_carriers(gw: &core::Gateway) {
+    let Some(deployment) = gw.deployment() else {
+        return;
+    };
+    let has_engine = |server: &&Arc<server::Server>| {
+        let service = deployment.services.get(&server.service);
+        service.is_some_and(|service| service.engine.is_some())
+    };
+    let port = gw.settings().fleet_listen.port();
+    let known = gw.known.borrow();
+    let engines = known.servers.values().filter(has_engine);
+    let mut beside: Vec<_> = engines.map(|server| server.address.ip()).collect();
+    drop(known);
+    beside.sort_by_cached_key(|ip| rendezvous::weight(&ip.to_string(), gw.incarnation));
+    beside.dedup();
+    let carriers = beside.into_iter().map(|ip| SocketAddr::new(ip, port));
+    gw.route.borrow_mut().set_carriers(carriers.collect());
+}
+
 /// Servers of a service that take new work.
 pub fn ready(gw: &core::Gateway, service: &str) -> Vec<Arc<server::Server>> {
     let known = gw.known.borrow();
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -50,7 +50,7 @@
     let others = read.items.iter().filter(|item| item.key != own);
     let peers: HashMap<String, SocketAddr> = others.filter_map(decode).collect();
     gauge!("fulmar_gateway_peers").set(peers.len() as f64);
-    *gw.peers.borrow_mut() = peers;
+    gw.note_peers(peers);
     Ok(())
 }
 
@@ -64,7 +64,7 @@
         ..store::Write::default()
     };
     let written = gw.store.write(&write).await?;
-    Ok((written == store::Written::Done).then_some(lease.id))
+    Ok(matches!(written, store::Written::Done(_)).then_some(lease.id))
 }
 
 fn decode(item: &store::Item) -> Option<(String, SocketAddr)> {
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -5,7 +5,7 @@
 use metrics::{counter, gauge};
 
 use crate::{
-    gateway::core,
+    gateway::{core, directory},
     platform::{configuration, store},
 };
 
@@ -81,4 +81,6 @@
         revision = item.revision,
         "configuration: in force"
     );
+    drop(deployment);
+    directory::offer_carriers(gw);
 }
--- /dev/null
+++ b/src/gateway/ledger.rs
@@ -0,0 +1,241 @@
+//! Fills shares from the ledgers in the store, and gives back at the end.
+
+use std::rc::Rc;
+
+use metrics::{counter, gauge};
+
+use crate::{
+    coordination::share,
+    gateway::core,
+    platform::store,
+    state::{name, share_ledger},
+};
+
+/// Prefix of the ledgers.
+pub const PREFIX: &str = "fulmar/budgets/";
+
+/// Workspaces in one write; the store takes 32 entries.
+const BATCH: usize = 12;
+
+/// Tries of one write against other routers' writes.
+const TRIES: usize = 6;
+
+/// A share that is to be filled.
+#[derive(Clone, Debug)]
+pub struct Fill {
+    /// Workspace.
+    pub workspace: name::Name,
+    /// Tokens ever paid for.
+    pub prepaid: u64,
+    /// Tokens that must be had at once.
+    pub needed: u64,
+}
+
+/// What the ledger granted, by workspace.
+type Grants = Vec<(name::Name, u64)>;
+
+fn key(workspace: &str) -> String {
+    format!("{PREFIX}{workspace}")
+}
+
+/// Fills shares up to what they should hold.
+///
+/// # Errors
+///
+/// [`store::StoreError`] when the store refuses or does not answer; nothing is granted then.
+pub async fn fill(gw: &Rc<core::Gateway>, fills: &[Fill]) -> Result<(), store::StoreError> {
+    for batch in fills.chunks(BATCH) {
+        fill_batch(gw, batch).await?;
+    }
+    Ok(())
+}
+
+async fn fill_batch(gw: &Rc<core::Gateway>, batch: &[Fill]) -> Result<(), store::StoreError> {
+    for _ in 0..TRIES {
+        let (write, grants) = plan(gw, batch);
+        if grants.iter().all(|(_, tokens)| *tokens == 0) && is_read(gw, batch) {
+            return Ok(());
+        }
+        if commit(gw, &write).await? {
+            add(gw, &grants);
+            return Ok(());
+        }
+    }
+    counter!("fulmar_gateway_ledger_conflicts_total").increment(1);
+    tracing::info!(
+        workspaces = batch.len(),
+        "budget: other routers' writes came first"
+    );
+    Ok(())
+}
+
+/// Whether what was last seen of the ledgers will do to find that nothing is to be had: not for
+/// one that was never read, nor when a request is about to be refused for it.
+fn is_read(gw: &core::Gateway, batch: &[Fill]) -> bool {
+    let ledgers = gw.ledgers.borrow();
+    let read = |fill: &Fill| fill.needed == 0 && ledgers.contains_key(&fill.workspace);
+    batch.iter().all(read)
+}
+
+/// Writes ledgers; false when another router's write came first. What the ledgers are is
+/// remembered either way.
+async fn commit(gw: &core::Gateway, write: &store::Write) -> Result<bool, store::StoreError> {
+    let written = gw.store.write(write).await;
+    match written {
+        Ok(store::Written::Done(revision)) => {
+            for (key, value) in &write.puts {
+                let (key, value) = (key.clone(), value.clone());
+                remember(
+                    gw,
+                    store::Item {
+                        key,
+                        value,
+                        revision,
+                    },
+                );
+            }
+            Ok(true)
+        }
+        Ok(store::Written::Conflict(items)) => {
+            for item in items {
+                remember(gw, item);
+            }
+            Ok(false)
+        }
+        Ok(store::Written::LeaseEnded) => Ok(false),
+        Err(err) => Err(err),
+    }
+}
+
+fn remember(gw: &core::Gateway, item: store::Item) {
+    if let Some(workspace) = item.key.strip_prefix(PREFIX) {
+        let workspace = name::Name::from(workspace);
+        gw.ledgers.borrow_mut().insert(workspace, item);
+    }
+}
+
+/// Plans the write that fills some shares, from the ledgers as they were last seen; the write's
+/// conditions tell whether they still are so.
+fn plan(gw: &core::Gateway, batch: &[Fill]) -> (store::Write, Grants) {
+    let now = gw.now();
+    let holder = gw.holder();
+    let ledgers = gw.ledgers.borrow();
+    let shares = gw.shares.borrow();
+    let mut write = store::Write::default();
+    let mut grants = Vec::new();
+    for fill in batch {
+        let item = ledgers.get(&fill.workspace);
+        let Some(mut ledger) = item.map_or_else(|| Some(Default::default()), decode) else {
+            continue;
+        };
+        let share = shares.get(&fill.workspace).cloned().unwrap_or_default();
+        ledger.holders.insert(holder.clone(), holding(&share));
+        let free = fill.prepaid.saturating_sub(ledger.granted());
+        let granted = share.wanted(fill.prepaid, free, fill.needed, now);
+        if let Some(holding) = ledger.holders.get_mut(&holder) {
+            holding.granted += granted as i64;
+        }
+        put(&mut write, &fill.workspace, item, &ledger);
+        grants.push((fill.workspace.clone(), granted));
+    }
+    (write, grants)
+}
+
+fn holding(share: &share::Share) -> share_ledger::Holding {
+    share_ledger::Holding {
+        granted: share.granted(),
+        spent: share.spent(),
+    }
+}
+
+fn put(
+    write: &mut store::Write,
+    workspace: &str,
+    item: Option<&store::Item>,
+    ledger: &share_ledger::ShareLedger,
+) {
+    let revision = item.map_or(0, |item| item.revision);
+    match serde_json::to_vec(ledger) {
+        Ok(value) => {
+            write.expected.push((key(workspace), revision));
+            write.puts.push((key(workspace), value));
+        }
+        Err(err) => tracing::error!(workspace, %err, "budget: ledger not written"),
+    }
+}
+
+/// The ledger of an item; `None`, and no grant, when it does not parse.
+fn decode(item: &store::Item) -> Option<share_ledger::ShareLedger> {
+    if item.revision == 0 {
+        return Some(share_ledger::ShareLedger::default());
+    }
+    match serde_json::from_slice(&item.value) {
+        Ok(ledger) => Some(ledger),
+        Err(err) => {
+            tracing::error!(key = item.key, %err, "budget: ledger does not parse, nothing granted");
+            None
+        }
+    }
+}
+
+fn add(gw: &core::Gateway, grants: &Grants) {
+    let mut shares = gw.shares.borrow_mut();
+    for (workspace, tokens) in grants {
+        let share = shares.entry(workspace.clone()).or_default();
+        share.grant(*tokens);
+        if *tokens > 0 {
+            let available = share.available();
+            counter!("fulmar_gateway_tokens_granted_total").increment(*tokens);
+            tracing::info!(%workspace, tokens, available, "budget: share grew from the ledger");
+        }
+    }
+    let held: u64 = shares.values().map(share::Share::available).sum();
+    gauge!("fulmar_gateway_tokens_held").set(held as f64);
+}
+
+/// Gives back all that is left, and moves what was spent to the closed part of the ledgers.
+pub async fn close(gw: &Rc<core::Gateway>) {
+    let workspaces: Vec<name::Name> = {
+        let mut shares = gw.shares.borrow_mut();
+        for share in shares.values_mut() {
+            share.release();
+        }
+        shares.keys().cloned().collect()
+    };
+    for batch in workspaces.chunks(BATCH) {
+        if let Err(err) = close_batch(gw, batch).await {
+            tracing::warn!(%err, "budget: tokens not given back at the end");
+        }
+    }
+}
+
+async fn close_batch(gw: &core::Gateway, batch: &[name::Name]) -> Result<(), store::StoreError> {
+    for _ in 0..TRIES {
+        let write = plan_closing(gw, batch);
+        if write.puts.is_empty() || commit(gw, &write).await? {
+            return Ok(());
+        }
+    }
+    tracing::warn!("budget: other routers' writes came first, tokens not given back at the end");
+    Ok(())
+}
+
+fn plan_closing(gw: &core::Gateway, batch: &[name::Name]) -> store::Write {
+    let holder = gw.holder();
+    let ledgers = gw.ledgers.borrow();
+    let shares = gw.shares.borrow();
+    let mut write = store::Write::default();
+    for workspace in batch {
+        let item = ledgers.get(workspace);
+        let Some(mut ledger) = item.map_or_else(|| Some(Default::default()), decode) else {
+            continue;
+        };
+        let granted = shares.get(workspace).map_or(0, share::Share::granted);
+        if ledger.holders.remove(&holder).is_none() && granted == 0 {
+            continue;
+        }
+        ledger.closed += granted;
+        put(&mut write, workspace, item, &ledger);
+    }
+    write
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 #![warn(missing_docs)]
 
 pub mod agent;
+pub mod carrier;
 pub mod code;
 pub mod coordination;
 pub mod ctl;
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -42,7 +42,18 @@
     address: SocketAddr,
 }
 
-/// Settings of a process on the platform.
+/// Settings of a carrier.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CarrierSettings {
+    /// Name of the VM.
+    pub vm: name::Name,
+    /// Address for other members of the fleet.
+    pub fleet_listen: SocketAddr,
+    /// Address of the platform's store.
+    pub store: SocketAddr,
+}
+
+/// Settings of a gateway.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// Name of the VM.
@@ -83,27 +94,43 @@
     Duration::try_from_secs_f64(value).map_err(|_| wrong(field, "a time of 0 or more"))
 }
 
-/// Decodes a settings file.
+impl File {
+    fn port(&self, offset: u16) -> SocketAddr {
+        SocketAddr::new(self.ip, self.internal_ports[0].saturating_add(offset))
+    }
+}
+
+fn parse(path: &str, text: &str) -> Result<File, error::Error> {
+    toml::from_str(text).map_err(|source| error::Error::SettingsFile {
+        path: path.to_owned(),
+        source: Box::new(source),
+    })
+}
+
+fn contents(path: &str) -> Result<String, error::Error> {
+    std::fs::read_to_string(path).map_err(|source| error::Error::File {
+        path: path.to_owned(),
+        source,
+    })
+}
+
+/// Decodes the settings file of a gateway.
 ///
 /// # Errors
 ///
 /// [`error::Error::SettingsFile`] names the path and what does not parse;
 /// [`error::Error::Setting`] names a field that is missing or out of its range.
 pub fn decode(path: &str, text: &str) -> Result<Settings, error::Error> {
-    let file: File = toml::from_str(text).map_err(|source| error::Error::SettingsFile {
-        path: path.to_owned(),
-        source: Box::new(source),
-    })?;
+    let file = parse(path, text)?;
     let listen = file.listen.front;
     let ready = file.listen.ready;
-    let port = |offset: u16| SocketAddr::new(file.ip, file.internal_ports[0] + offset);
     Ok(Settings {
         vm: name::Name::from(&*file.node),
         zone: name::Name::from(&*file.zone),
         listen: listen.ok_or_else(|| wrong("listen.front", "an address for callers"))?,
         ready_listen: ready.ok_or_else(|| wrong("listen.ready", "an address for readiness"))?,
-        fleet_listen: port(0),
-        admin_listen: port(1),
+        fleet_listen: file.port(0),
+        admin_listen: file.port(1),
         store: file.provider.address,
         drain: seconds(file.bounds.drain_ms / 1000.0, "bounds.drain_ms")?,
         grace: seconds(file.bounds.grace_s, "bounds.grace_s")?,
@@ -113,15 +140,25 @@
     })
 }
 
-/// Reads the settings file.
+/// Reads the settings file of a gateway.
 ///
 /// # Errors
 ///
 /// [`error::Error::File`] names the path; otherwise as [`decode`].
 pub fn read(path: &str) -> Result<Settings, error::Error> {
-    let text = std::fs::read_to_string(path).map_err(|source| error::Error::File {
-        path: path.to_owned(),
-        source,
-    })?;
-    decode(path, &text)
+    decode(path, &contents(path)?)
+}
+
+/// Reads the settings file of a carrier.
+///
+/// # Errors
+///
+/// [`error::Error::File`] names the path; [`error::Error::SettingsFile`] what does not parse.
+pub fn read_carrier(path: &str) -> Result<CarrierSettings, error::Error> {
+    let file = parse(path, &contents(path)?)?;
+    Ok(CarrierSettings {
+        vm: name::Name::from(&*file.node),
+        fleet_listen: file.port(0),
+        store: file.provider.address,
+    })
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -7,15 +7,15 @@
 use serde::{Deserialize, Serialize};
 
 use crate::transport::{
-    h1::{body, conn, dial, head, pool},
+    h1::{body, conn, dial, fault, head, pool},
     timers,
 };
 
 /// Longest wait for the answer of a call; a slow store takes a quarter of a second.
-const CALL_LIMIT: Duration = Duration::from_millis(1500);
+const CALL_LIMIT: Duration = Duration::from_millis(800);
 
 /// Longest wait for a connection; a round trip takes a few milliseconds.
-const CONNECT_LIMIT: Duration = Duration::from_millis(600);
+const CONNECT_LIMIT: Duration = Duration::from_millis(300);
 
 /// Time that a watch may answer late, beyond the wait that it asked for.
 const WATCH_SLACK: Duration = Duration::from_millis(1500);
@@ -23,6 +23,9 @@
 /// Time that an idle connection to the store is kept.
 const IDLE: Duration = Duration::from_secs(5);
 
+/// Ways that one call tries at most: straight and two carriers.
+const WAYS: u32 = 3;
+
 /// Most bytes of an answer: a page holds about a megabyte, and base64 adds a third.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 
@@ -101,8 +104,8 @@
 /// Outcome of a write.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Written {
-    /// It was done.
-    Done,
+    /// It was done; the revision that the keys now have.
+    Done(u64),
     /// A condition failed; the keys of the conditions as they are.
     Conflict(Vec<Item>),
     /// Its lease has ended.
@@ -118,9 +121,17 @@
     pub ttl: Duration,
 }
 
+/// By which way calls go; the decision is the caller's.
+pub struct Way {
+    /// Address for the next call.
+    pub next: Box<dyn Fn() -> SocketAddr>,
+    /// Told whether the call to an address was answered.
+    pub ended: Box<dyn Fn(SocketAddr, bool)>,
+}
+
 /// Client of the store.
 pub struct Store {
-    address: RefCell<SocketAddr>,
+    way: Way,
     timers: timers::Timers,
     pool: RefCell<pool::Pool>,
 }
@@ -155,6 +166,11 @@
     items: Vec<WireItem>,
 }
 
+#[derive(Deserialize)]
+struct WireDone {
+    revision: u64,
+}
+
 #[derive(Deserialize)]
 struct WireLease {
     lease: u64,
@@ -181,6 +197,26 @@
     remove: &'a [String],
 }
 
+/// Why an exchange has no answer.
+enum Failed {
+    NotSent(String),
+    Unanswered(String),
+}
+
+impl Failed {
+    fn cause(self) -> String {
+        match self {
+            Self::NotSent(cause) | Self::Unanswered(cause) => cause,
+        }
+    }
+}
+
+impl From<fault::Fault> for Failed {
+    fn from(err: fault::Fault) -> Self {
+        Self::Unanswered(err.to_string())
+    }
+}
+
 struct Answer {
     status: u16,
     body: Vec<u8>,
@@ -229,20 +265,15 @@
 }
 
 impl Store {
-    /// Makes a client of the store at an address.
-    pub fn new(address: SocketAddr, timers: timers::Timers) -> Self {
+    /// Makes a client whose calls go by a way.
+    pub fn new(way: Way, timers: timers::Timers) -> Self {
         Self {
-            address: RefCell::new(address),
+            way,
             timers,
             pool: RefCell::default(),
         }
     }
 
-    /// Sends later calls to another address.
-    pub fn move_to(&self, address: SocketAddr) {
-        *self.address.borrow_mut() = address;
-    }
-
     /// Reads a key; one that does not exist has the revision 0.
     ///
     /// # Errors
@@ -355,7 +386,10 @@
         let answer = self.call(CALL, "POST", "/kv-txn", Some(&body), CALL_LIMIT);
         let answer = answer.await?;
         match answer.status {
-            200 => Ok(Written::Done),
+            200 => {
+                let done: WireDone = parse(CALL, &answer)?;
+                Ok(Written::Done(done.revision))
+            }
             404 => Ok(Written::LeaseEnded),
             412 => {
                 let conflict: WireConflict = parse(CALL, &answer)?;
@@ -420,6 +454,7 @@
         }
     }
 
+    /// Makes a call, by another way when the first certainly did nothing or only read.
     async fn call(
         &self,
         call: &'static str,
@@ -428,12 +463,25 @@
         body: Option<&[u8]>,
         limit: Duration,
     ) -> Result<Answer, StoreError> {
-        let address = *self.address.borrow();
-        let exchange = self.exchange(address, method, path, body);
-        match self.timers.within(limit, exchange).await {
-            Some(Ok(answer)) => Ok(answer),
-            Some(Err(cause)) => Err(no_answer(call, cause)),
-            None => Err(no_answer(call, format!("none within {limit:?}"))),
+        let mut ways = 0;
+        loop {
+            ways += 1;
+            let address = (self.way.next)();
+            let exchange = self.exchange(address, method, path, body);
+            let outcome = match self.timers.within(limit, exchange).await {
+                Some(outcome) => outcome,
+                None => Err(Failed::Unanswered(format!("none within {limit:?}"))),
+            };
+            let refused = matches!(&outcome, Ok(answer) if matches!(answer.status, 429 | 503));
+            (self.way.ended)(address, outcome.is_ok() && !refused);
+            let harmless = match &outcome {
+                Ok(_) => refused,
+                Err(Failed::NotSent(_)) => true,
+                Err(Failed::Unanswered(_)) => method == "GET",
+            };
+            if !harmless || ways == WAYS {
+                return outcome.map_err(|failed| no_answer(call, failed.cause()));
+            }
         }
     }
 
@@ -443,7 +491,7 @@
         method: &str,
         path: &str,
         body: Option<&[u8]>,
-    ) -> Result<Answer, String> {
+    ) -> Result<Answer, Failed> {
         let mut conn = self.connection(address).await?;
         let mut request = format!("{method} {path} HTTP/1.1\r\nHost: {address}\r\n");
         if let Some(body) = body {
@@ -453,14 +501,11 @@
         request.push_str("\r\n");
         let mut bytes = request.into_bytes();
         bytes.extend_from_slice(body.unwrap_or_default());
-        let text = |err: &dyn std::fmt::Display| err.to_string();
-        conn.write(&bytes).await.map_err(|err| text(&err))?;
-        let answer = head::read_answer(&mut conn).await;
-        let answer = answer.map_err(|err| text(&err))?;
-        let framing = body::of_answer(&answer, method).map_err(|err| text(&err))?;
+        conn.write(&bytes).await?;
+        let answer = head::read_answer(&mut conn).await?;
+        let framing = body::of_answer(&answer, method)?;
         let mut reader = body::Body::new(framing);
-        let whole = reader.read_all(&mut conn, MAX_ANSWER_BYTES).await;
-        let whole = whole.map_err(|err| text(&err))?;
+        let whole = reader.read_all(&mut conn, MAX_ANSWER_BYTES).await?;
         if answer.keeps_alive() && framing != body::Framing::Close {
             let until = self.timers.now() + IDLE;
             self.pool.borrow_mut().put(address, conn, until);
@@ -471,12 +516,12 @@
         })
     }
 
-    async fn connection(&self, address: SocketAddr) -> Result<conn::Conn, String> {
+    async fn connection(&self, address: SocketAddr) -> Result<conn::Conn, Failed> {
         let now = self.timers.now();
         if let Some(conn) = self.pool.borrow_mut().take(address, now) {
             return Ok(conn);
         }
         let connected = dial::connect(address, CONNECT_LIMIT, &self.timers).await;
-        connected.map_err(|err| format!("no connection: {err}"))
+        connected.map_err(|err| Failed::NotSent(format!("no connection: {err}")))
     }
 }
--- a/src/state/share_ledger.rs
+++ b/src/state/share_ledger.rs
@@ -7,8 +7,8 @@
 /// What one router holds of a budget.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq, Serialize)]
 pub struct Holding {
-    /// Tokens granted, less those given back.
-    pub granted: u64,
+    /// Tokens granted, less those given back; negative when it gave back what others gave it.
+    pub granted: i64,
     /// Tokens that it had spent when it wrote.
     pub spent: u64,
 }
@@ -19,11 +19,12 @@
     /// Holdings by `vm/incarnation`.
     pub holders: BTreeMap<String, Holding>,
     /// Tokens of holders that have closed their account.
-    pub closed: u64,
+    pub closed: i64,
 }
 
 impl ShareLedger {
-    /// Tokens granted to anyone.
+    /// Tokens granted to anyone and not given back; what routers give each other does not change
+    /// it.
     ///
     /// ```
     /// use fulmarproxy::state::share_ledger::{Holding, ShareLedger};
@@ -33,6 +34,7 @@
     /// ```
     pub fn granted(&self) -> u64 {
         let holders = self.holders.values().map(|holding| holding.granted);
-        holders.fold(self.closed, u64::saturating_add)
+        let granted = holders.fold(self.closed, i64::saturating_add);
+        u64::try_from(granted).unwrap_or(0)
     }
 }
