--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -23,6 +23,9 @@
 /// Time that an idle connection to the store is kept.
 const IDLE: Duration = Duration::from_secs(5);
 
+/// Name of the call that waits for changes.
+const WATCH: &str = "watch";
+
 /// Ways that one call tries at most: straight and two carriers.
 const WAYS: u32 = 3;
 
@@ -341,7 +344,7 @@
         after: u64,
         wait: Duration,
     ) -> Result<Watched, StoreError> {
-        const CALL: &str = "watch";
+        const CALL: &str = WATCH;
         let path = format!(
             "/kv-watch?path_prefix={}&after={after}&wait_ms={}",
             encoded(prefix),
@@ -454,7 +457,8 @@
         }
     }
 
-    /// Makes a call, by another way when the first certainly did nothing or only read.
+    /// Makes a call, by another way when the first certainly did nothing or only read. A watch
+    /// that was cut ends with an error: its history may be gone, and only a new read tells.
     async fn call(
         &self,
         call: &'static str,
@@ -477,7 +481,7 @@
             let harmless = match &outcome {
                 Ok(_) => refused,
                 Err(Failed::NotSent(_)) => true,
-                Err(Failed::Unanswered(_)) => method == "GET",
+                Err(Failed::Unanswered(_)) => method == "GET" && call != WATCH,
             };
             if !harmless || ways == WAYS {
                 return outcome.map_err(|failed| no_answer(call, failed.cause()));
