Keep smaller reserves, and look less often whether an exhausted budget was refilled

Cause: reserves of six seconds were lost with every process at a loss of power, and an exhausted budget cost two calls of the store each 300 ms.

--- a/src/coordination/share.rs
+++ b/src/coordination/share.rs
@@ -10,16 +10,16 @@
 
 /// Time that the home's reserve lasts without the store. Outages of the whole store last five to
 /// six seconds; cuts last longer, but carriers reach the store meanwhile.
-pub const RESERVE: Duration = Duration::from_secs(6);
+pub const RESERVE: Duration = Duration::from_millis(2500);
 
 /// Time that another router's share lasts without the home: a few tries to reach it.
-pub const AHEAD: Duration = Duration::from_secs(2);
+pub const AHEAD: Duration = Duration::from_millis(500);
 
 /// Time over which the measured demand fades; a wave of load takes about as long.
 const FADE: Duration = Duration::from_secs(4);
 
 /// Part of a budget that its home takes before it has seen any demand.
-const FIRST_PART: f64 = 0.05;
+const FIRST_PART: f64 = 0.02;
 
 /// Part of the target below which a share is filled up.
 const LOW_PART: f64 = 0.6;
@@ -32,7 +32,7 @@
 
 /// Time for which a budget that was found exhausted counts as such, so that a flood of requests
 /// does not recall tokens for each.
-const EXHAUSTED_FOR: Duration = Duration::from_millis(300);
+const EXHAUSTED_FOR: Duration = Duration::from_millis(1000);
 
 /// A budget that was found exhausted.
 #[derive(Clone, Copy, Debug)]
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -252,7 +252,10 @@
     }
     match filled {
         Ok(()) => {
-            tracing::info!(%workspace, needed, prepaid, all_answered, "budget: exhausted");
+            let elsewhere = ledger::held_elsewhere(gw, workspace);
+            tracing::info!(
+                %workspace, needed, prepaid, elsewhere, all_answered, "budget: exhausted"
+            );
             let at = gw.now();
             let exhausted = share::Exhausted {
                 prepaid,
--- a/src/gateway/ledger.rs
+++ b/src/gateway/ledger.rs
@@ -178,6 +178,19 @@
     }
 }
 
+/// Tokens that other holders were granted and had not spent when they last wrote: what live
+/// routers still hold, and what dead ones have taken with them.
+pub fn held_elsewhere(gw: &core::Gateway, workspace: &str) -> i64 {
+    let ledgers = gw.ledgers.borrow();
+    let Some(ledger) = ledgers.get(workspace).and_then(decode) else {
+        return 0;
+    };
+    let own = gw.holder();
+    let others = ledger.holders.iter().filter(|(holder, _)| **holder != own);
+    let unspent = others.map(|(_, holding)| holding.granted - holding.spent as i64);
+    unspent.sum()
+}
+
 fn add(gw: &core::Gateway, grants: &Grants) {
     let mut shares = gw.shares.borrow_mut();
     for (workspace, tokens) in grants {
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -149,7 +149,7 @@
 
 fn is_dropped(name: &str, per_connection: &[&str]) -> bool {
     let named = |found: &&str| found.eq_ignore_ascii_case(name);
-    per_connection.iter().any(|found| named(found))
+    per_connection.iter().any(named)
 }
 
 /// Headers named by `Connection`, which end here.
