Let one request at a time ask the ledger, and size reserves by what is left

Ruled out: calls of the watches (206).

Reserves last seven seconds while much is left, one second when little is; requests queue for the ledger.

--- a/src/coordination/share.rs
+++ b/src/coordination/share.rs
@@ -8,9 +8,9 @@
 
 use std::time::Duration;
 
-/// Time that the home's reserve lasts without the store. Outages of the whole store last five to
-/// six seconds; cuts last longer, but carriers reach the store meanwhile.
-pub const RESERVE: Duration = Duration::from_millis(2500);
+/// Time that the home's reserve lasts without the store. Outages of the whole store last up to
+/// seven seconds; cuts last longer, but carriers reach the store meanwhile.
+pub const RESERVE: Duration = Duration::from_secs(7);
 
 /// Time that another router's share lasts without the home: a few tries to reach it.
 pub const AHEAD: Duration = Duration::from_millis(500);
@@ -24,8 +24,13 @@
 /// Part of the target below which a share is filled up.
 const LOW_PART: f64 = 0.6;
 
-/// The reserve takes at most one part in this many of what nobody holds.
-const FREE_DIVISOR: u64 = 4;
+/// The reserve is at most one part in this many of what is left: it is lost with its holder, and
+/// the less is left, the more each lost token is missed.
+const LEFT_DIVISOR: u64 = 6;
+
+/// Time that the reserve of a budget that runs out lasts; less would call the store for each
+/// request.
+const LEAST_RESERVE: Duration = Duration::from_secs(1);
 
 /// A draw takes, beyond what is needed, at most one part in this many of what the home holds.
 const DRAWN_DIVISOR: u64 = 16;
@@ -39,8 +44,8 @@
 pub struct Exhausted {
     /// Tokens ever paid for, as far as was known.
     pub prepaid: u64,
-    /// Tokens that could not be had.
-    pub needed: u64,
+    /// Tokens that were left after all; less than a request needed.
+    pub left: u64,
     /// When it was found.
     pub at: Duration,
 }
@@ -51,12 +56,12 @@
     /// ```
     /// use std::time::Duration;
     /// use fulmarproxy::coordination::share;
-    /// let found = share::Exhausted { prepaid: 100, needed: 10, at: Duration::ZERO };
+    /// let found = share::Exhausted { prepaid: 100, left: 9, at: Duration::ZERO };
     /// assert!(found.covers(100, 10, Duration::ZERO));
     /// assert!(!found.covers(200, 10, Duration::ZERO), "a top-up came");
     /// ```
     pub fn covers(&self, prepaid: u64, needed: u64, now: Duration) -> bool {
-        self.prepaid == prepaid && needed >= self.needed && now < self.at + EXHAUSTED_FOR
+        self.prepaid == prepaid && needed > self.left && now < self.at + EXHAUSTED_FOR
     }
 }
 
@@ -198,8 +203,10 @@
     /// `free` are the tokens that nobody holds, `needed` what must be had at once.
     pub fn wanted(&self, prepaid: u64, free: u64, needed: u64, now: Duration) -> u64 {
         let first = (prepaid as f64 * FIRST_PART) as u64;
-        let target = self.ahead(RESERVE, now).max(first);
-        let short = short_of(target, self.available()).min(free / FREE_DIVISOR);
+        let left = free.saturating_add(self.available());
+        let most = (left / LEFT_DIVISOR).max(self.ahead(LEAST_RESERVE, now));
+        let target = self.ahead(RESERVE, now).max(first).min(most);
+        let short = short_of(target, self.available());
         let needed = needed.saturating_sub(self.available());
         short.max(needed).min(free)
     }
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -2,7 +2,7 @@
 //!
 //! The home of a budget is the first live router in an order that all routers share. It holds the
 //! fleet's reserve and alone writes the ledger while it is reachable; see
-//! [`share`](crate::coordination::share).
+//! [`share`].
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
@@ -234,6 +234,11 @@
     let Some(prepaid) = prepaid(gw, workspace) else {
         return Obtained::Nothing;
     };
+    // One request at a time asks; those behind it mostly find what it brought.
+    let _one = gw.obtaining.lock().await;
+    if available(gw, workspace) >= needed {
+        return Obtained::Some;
+    }
     if is_known_exhausted(gw, workspace, prepaid, needed) {
         return Obtained::Exhausted;
     }
@@ -257,11 +262,8 @@
                 %workspace, needed, prepaid, elsewhere, all_answered, "budget: exhausted"
             );
             let at = gw.now();
-            let exhausted = share::Exhausted {
-                prepaid,
-                needed,
-                at,
-            };
+            let left = available(gw, workspace);
+            let exhausted = share::Exhausted { prepaid, left, at };
             gw.exhausted
                 .borrow_mut()
                 .insert(workspace.clone(), exhausted);
@@ -379,9 +381,14 @@
             _ => (),
         }
     }
+    if fills.is_empty() {
+        return;
+    }
+    let one = gw.obtaining.lock().await;
     if let Err(err) = ledger::fill(gw, &fills).await {
         counter!("fulmar_gateway_store_failures_total", "part" => "budget").increment(1);
         tracing::warn!(%err, "budget: shares not filled");
+        drop(one);
         gw.timers.sleep(PAUSE).await;
     }
 }
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -90,6 +90,8 @@
     pub is_leaving: Cell<bool>,
     /// Ledgers of budgets as they were last seen.
     pub ledgers: RefCell<HashMap<name::Name, platform::store::Item>>,
+    /// Held while tokens are asked of the ledger; taken before any of the cells is borrowed.
+    pub obtaining: smol::lock::Mutex<()>,
     /// Budgets that were found exhausted.
     pub exhausted: RefCell<HashMap<name::Name, share::Exhausted>>,
     /// Routers that did not answer, and until when they are passed over.
@@ -127,6 +129,7 @@
             in_flight: Cell::new(0),
             is_leaving: Cell::new(false),
             ledgers: RefCell::default(),
+            obtaining: smol::lock::Mutex::new(()),
             exhausted: RefCell::default(),
             silent_peers: RefCell::default(),
             routers_seen: Cell::default(),
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -471,12 +471,19 @@
         loop {
             ways += 1;
             let address = (self.way.next)();
+            let began = self.timers.now();
             let exchange = self.exchange(address, method, path, body);
             let outcome = match self.timers.within(limit, exchange).await {
                 Some(outcome) => outcome,
                 None => Err(Failed::Unanswered(format!("none within {limit:?}"))),
             };
             let refused = matches!(&outcome, Ok(answer) if matches!(answer.status, 429 | 503));
+            let took = self.timers.now() - began;
+            metrics::counter!("fulmar_gateway_store_calls_total", "call" => call).increment(1);
+            if call != WATCH {
+                metrics::histogram!("fulmar_gateway_store_seconds").record(took.as_secs_f64());
+            }
+            tracing::debug!(call, path, %address, ?took, refused, "store: call ended");
             (self.way.ended)(address, outcome.is_ok() && !refused);
             let harmless = match &outcome {
                 Ok(_) => refused,
