--- a/src/standin.rs
+++ b/src/standin.rs
@@ -9,6 +9,8 @@
 pub mod load_report;
 pub mod main;
 pub mod orders;
+pub mod placed_server;
+pub mod placed_store;
 pub mod plain;
 pub mod platform;
 pub mod prefix_cache;
--- /dev/null
+++ b/src/standin/placed_server.rs
@@ -0,0 +1,155 @@
+//! A stand-in for a backend server of the platform that places gateways: it answers what a test
+//! tells it to, byte by byte.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
+
+use crate::transport::{
+    h1::{body, conn, fault, head},
+    timers,
+};
+
+/// Most bytes of a request.
+const MAX_BYTES: usize = 8 << 20;
+
+/// One step of an answer.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// Waits.
+    Wait(Duration),
+    /// Sends bytes.
+    Send(Vec<u8>),
+    /// Closes the connection.
+    Close,
+}
+
+/// A request as it arrived.
+#[derive(Clone, Debug)]
+pub struct Arrived {
+    /// Head.
+    pub head: head::RequestHead,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+/// Makes the answer of a request.
+pub type Answer = Rc<dyn Fn(&Arrived) -> Vec<Step>>;
+
+/// A backend server.
+pub struct PlacedServer {
+    answer: Answer,
+    /// Requests that arrived, in their order.
+    pub arrived: RefCell<Vec<Arrived>>,
+    /// Connections that callers closed while their request was answered.
+    pub abandoned: Cell<u32>,
+}
+
+impl PlacedServer {
+    /// Makes a server that answers as `answer` tells.
+    pub fn new(answer: Answer) -> Rc<Self> {
+        Rc::new(Self {
+            answer,
+            arrived: RefCell::default(),
+            abandoned: Cell::new(0),
+        })
+    }
+
+    /// Serves until the task is dropped.
+    pub async fn serve(
+        self: Rc<Self>,
+        listener: async_net::TcpListener,
+        executor: Rc<smol::LocalExecutor<'static>>,
+    ) {
+        while let Ok((stream, _)) = listener.accept().await {
+            let server = self.clone();
+            let serving = async move {
+                let mut conn = conn::Conn::new(stream);
+                while let Ok(true) = server.serve_one(&mut conn).await {}
+            };
+            executor.spawn(serving).detach();
+        }
+    }
+
+    async fn serve_one(&self, conn: &mut conn::Conn) -> Result<bool, fault::Fault> {
+        let Some(head) = head::read_request(conn, MAX_BYTES).await? else {
+            return Ok(false);
+        };
+        let framing = body::of_request(&head.headers)?;
+        let body = body::Body::new(framing).read_all(conn, MAX_BYTES).await?;
+        let arrived = Arrived { head, body };
+        let steps = (self.answer)(&arrived);
+        self.arrived.borrow_mut().push(arrived);
+        let closed = conn::closed(conn.socket());
+        let sending = async {
+            let kept = send(conn, steps).await;
+            Some(kept)
+        };
+        let gone = async {
+            closed.await;
+            None
+        };
+        match smol::future::or(sending, gone).await {
+            Some(kept) => kept,
+            None => {
+                self.abandoned.set(self.abandoned.get() + 1);
+                Ok(false)
+            }
+        }
+    }
+}
+
+async fn send(conn: &mut conn::Conn, steps: Vec<Step>) -> Result<bool, fault::Fault> {
+    let timers = timers::Timers::default();
+    for step in steps {
+        match step {
+            Step::Wait(time) => timers.sleep(time).await,
+            Step::Send(bytes) => conn.write(&bytes).await?,
+            Step::Close => return Ok(false),
+        }
+    }
+    Ok(true)
+}
+
+/// A signed answer with a length.
+pub fn signed(arrived: &Arrived, status: u16, body: &str) -> Vec<Step> {
+    let len = body.len();
+    let bytes = format!(
+        "{}Content-Length: {len}\r\n\r\n{body}",
+        signed_head(arrived, status)
+    );
+    vec![Step::Send(bytes.into_bytes())]
+}
+
+/// A signed stream of events with these ids, `pause` apart, with its end.
+pub fn events(arrived: &Arrived, ids: std::ops::Range<u32>, pause: Duration) -> Vec<Step> {
+    let head = signed_head(arrived, 200);
+    let head =
+        format!("{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    let mut steps = vec![Step::Send(head.into_bytes())];
+    for id in ids {
+        let event = format!("id: {id}\ndata: word\n\n");
+        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+        steps.push(Step::Send(chunk.into_bytes()));
+        steps.push(Step::Wait(pause));
+    }
+    steps.push(Step::Send(b"0\r\n\r\n".to_vec()));
+    steps
+}
+
+/// Says that a request was not run.
+pub fn not_run() -> Vec<Step> {
+    let bytes = b"HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    vec![Step::Send(bytes.to_vec())]
+}
+
+fn signed_head(arrived: &Arrived, status: u16) -> String {
+    let id = arrived
+        .head
+        .headers
+        .text("X-Request-Id")
+        .unwrap_or_default();
+    format!("HTTP/1.1 {status} X\r\nX-Request-Id: {id}\r\nX-Response-Signature: s\r\n")
+}
--- /dev/null
+++ b/src/standin/placed_store.rs
@@ -0,0 +1,320 @@
+//! A stand-in for the store of the platform that places gateways, written from its pages.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use base64::Engine as _;
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use crate::transport::{
+    h1::{body, conn, fault, head},
+    timers,
+};
+
+/// Most bytes of a call.
+const MAX_BYTES: usize = 4 << 20;
+
+#[derive(Clone, Debug)]
+struct Entry {
+    value: String,
+    revision: u64,
+    lease: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Past {
+    key: String,
+    revision: u64,
+    value: Option<String>,
+}
+
+/// What the store does wrong.
+#[derive(Default)]
+pub struct Faults {
+    /// Calls are turned away.
+    pub refuses: Cell<bool>,
+    /// So many of the next writes are done but not answered.
+    pub lost_answers: Cell<u32>,
+    /// Watches hear nothing.
+    pub is_mute: Cell<bool>,
+}
+
+/// A store in memory.
+#[derive(Default)]
+pub struct PlacedStore {
+    entries: RefCell<BTreeMap<String, Entry>>,
+    past: RefCell<Vec<Past>>,
+    revision: Cell<u64>,
+    forgotten: Cell<u64>,
+    changed: event_listener::Event,
+    cut: event_listener::Event,
+    /// What it does wrong.
+    pub faults: Faults,
+    /// Calls served, by path.
+    pub calls: RefCell<BTreeMap<String, u32>>,
+}
+
+#[derive(Deserialize)]
+struct Write {
+    #[serde(default)]
+    expected_revision: Vec<Expected>,
+    #[serde(default)]
+    puts: Vec<Put>,
+    #[serde(default)]
+    remove: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct Expected {
+    key: String,
+    revision: u64,
+}
+
+#[derive(Deserialize)]
+struct Put {
+    key: String,
+    value: String,
+    #[serde(default)]
+    lease: u64,
+}
+
+fn field<'a>(target: &'a str, name: &str) -> &'a str {
+    let query = target.split_once('?').map_or("", |(_, query)| query);
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let mut found = pairs.filter(|(key, _)| *key == name);
+    found.next().map_or("", |(_, value)| value)
+}
+
+impl PlacedStore {
+    /// Writes a value as the operator or a backend server does.
+    pub fn put(&self, key: &str, value: &str) {
+        let value = base64::engine::general_purpose::STANDARD.encode(value);
+        self.apply(key, Some(value), 0);
+    }
+
+    /// Removes a key.
+    pub fn remove(&self, key: &str) {
+        self.apply(key, None, 0);
+    }
+
+    /// The value of a key, as text.
+    pub fn text(&self, key: &str) -> Option<String> {
+        let entries = self.entries.borrow();
+        let value = &entries.get(key)?.value;
+        let bytes = base64::engine::general_purpose::STANDARD
+            .decode(value)
+            .ok()?;
+        String::from_utf8(bytes).ok()
+    }
+
+    /// Forgets the history and cuts the watches that wait.
+    pub fn compact(&self) {
+        self.forgotten.set(self.revision.get());
+        self.past.borrow_mut().clear();
+        self.cut.notify(usize::MAX);
+    }
+
+    fn apply(&self, key: &str, value: Option<String>, lease: u64) {
+        let revision = self.revision.get() + 1;
+        self.revision.set(revision);
+        let mut entries = self.entries.borrow_mut();
+        match &value {
+            Some(value) => {
+                let value = value.clone();
+                entries.insert(
+                    key.to_owned(),
+                    Entry {
+                        value,
+                        revision,
+                        lease,
+                    },
+                );
+            }
+            None => {
+                entries.remove(key);
+            }
+        }
+        let key = key.to_owned();
+        self.past.borrow_mut().push(Past {
+            key,
+            revision,
+            value,
+        });
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Serves calls until the task is dropped.
+    pub async fn serve(
+        self: Rc<Self>,
+        listener: async_net::TcpListener,
+        executor: Rc<smol::LocalExecutor<'static>>,
+    ) {
+        while let Ok((stream, _)) = listener.accept().await {
+            let store = self.clone();
+            let serving = async move {
+                let mut conn = conn::Conn::new(stream);
+                while let Ok(true) = store.serve_one(&mut conn).await {}
+            };
+            executor.spawn(serving).detach();
+        }
+    }
+
+    /// Serves one call; false when the connection is to end.
+    async fn serve_one(&self, conn: &mut conn::Conn) -> Result<bool, fault::Fault> {
+        let Some(head) = head::read_request(conn, MAX_BYTES).await? else {
+            return Ok(false);
+        };
+        let framing = body::of_request(&head.headers)?;
+        let body = body::Body::new(framing).read_all(conn, MAX_BYTES).await?;
+        let path = head.target.split('?').next().unwrap_or_default().to_owned();
+        *self.calls.borrow_mut().entry(path.clone()).or_default() += 1;
+        if self.faults.refuses.get() {
+            return answer(conn, 503, &Value::Null).await;
+        }
+        let (status, value) = match path.as_str() {
+            "/kv-key" => self.get(&head.target),
+            "/kv-range" => self.range(&head.target),
+            "/kv-watch" => match self.watch(&head.target).await {
+                Some(answer) => answer,
+                None => return Ok(false),
+            },
+            "/kv-txn" => self.write(&body),
+            "/kv-lease" => (200, json!({"lease": 7, "ttl_ms": 20000})),
+            path if path.starts_with("/kv-keep/") => (200, json!({"ttl_ms": 20000})),
+            _ => (404, Value::Null),
+        };
+        let lost = self.faults.lost_answers.get();
+        if path == "/kv-txn" && lost > 0 {
+            self.faults.lost_answers.set(lost - 1);
+            return Ok(false);
+        }
+        answer(conn, status, &value).await
+    }
+
+    fn item(&self, key: &str, entry: Option<&Entry>) -> Value {
+        match entry {
+            Some(entry) => json!({
+                "key": key, "value": entry.value, "revision": entry.revision,
+                "lease": entry.lease, "store_revision": self.revision.get(),
+            }),
+            None => json!({"key": key, "revision": 0}),
+        }
+    }
+
+    fn get(&self, target: &str) -> (u16, Value) {
+        let key = field(target, "key");
+        let entries = self.entries.borrow();
+        match entries.get(key) {
+            Some(entry) => (200, self.item(key, Some(entry))),
+            None => (404, Value::Null),
+        }
+    }
+
+    fn range(&self, target: &str) -> (u16, Value) {
+        let prefix = field(target, "path_prefix");
+        let entries = self.entries.borrow();
+        let found = entries.iter().filter(|(key, _)| key.starts_with(prefix));
+        let items: Vec<Value> = found
+            .map(|(key, entry)| self.item(key, Some(entry)))
+            .collect();
+        let store_revision = self.revision.get();
+        (
+            200,
+            json!({"items": items, "has_more": false, "store_revision": store_revision}),
+        )
+    }
+
+    /// Waits for changes; `None` when the watch is cut.
+    async fn watch(&self, target: &str) -> Option<(u16, Value)> {
+        let prefix = field(target, "path_prefix");
+        let after: u64 = field(target, "after").parse().unwrap_or(0);
+        let wait = Duration::from_millis(field(target, "wait_ms").parse().unwrap_or(0));
+        let waiting = async {
+            loop {
+                let changed = self.changed.listen();
+                if !self.faults.is_mute.get() {
+                    if after < self.forgotten.get() {
+                        return Some((410, Value::Null));
+                    }
+                    let events = self.events(prefix, after);
+                    if !events.is_empty() {
+                        let revision = self.revision.get();
+                        return Some((200, json!({"events": events, "store_revision": revision})));
+                    }
+                }
+                changed.await;
+            }
+        };
+        let cut = self.cut.listen();
+        let cut = async {
+            cut.await;
+            None
+        };
+        let timers = timers::Timers::default();
+        let answered = timers.within(wait, smol::future::or(waiting, cut)).await;
+        let revision = self.revision.get();
+        answered.unwrap_or(Some((
+            200,
+            json!({"events": [], "store_revision": revision}),
+        )))
+    }
+
+    fn events(&self, prefix: &str, after: u64) -> Vec<Value> {
+        let past = self.past.borrow();
+        let found = past
+            .iter()
+            .filter(|past| past.revision > after && past.key.starts_with(prefix));
+        let events = found.map(|past| match &past.value {
+            Some(value) => json!({"key": past.key, "value": value, "revision": past.revision}),
+            None => json!({"key": past.key, "revision": past.revision, "deleted": true}),
+        });
+        events.collect()
+    }
+
+    fn write(&self, body: &[u8]) -> (u16, Value) {
+        let Ok(write) = serde_json::from_slice::<Write>(body) else {
+            return (400, Value::Null);
+        };
+        let entries = self.entries.borrow();
+        let revision = |key: &str| entries.get(key).map_or(0, |entry| entry.revision);
+        let holds = |expected: &Expected| revision(&expected.key) == expected.revision;
+        if !write.expected_revision.iter().all(holds) {
+            let keys = write.expected_revision.iter().map(|expected| &expected.key);
+            let items: Vec<Value> = keys.map(|key| self.item(key, entries.get(key))).collect();
+            return (412, json!({"items": items}));
+        }
+        drop(entries);
+        for put in write.puts {
+            self.apply(&put.key, Some(put.value), put.lease);
+        }
+        for key in write.remove {
+            self.apply(&key, None, 0);
+        }
+        (200, json!({"revision": self.revision.get()}))
+    }
+}
+
+async fn answer(conn: &mut conn::Conn, status: u16, value: &Value) -> Result<bool, fault::Fault> {
+    let body = value.to_string();
+    let len = body.len();
+    let bytes = format!("HTTP/1.1 {status} X\r\nContent-Length: {len}\r\n\r\n{body}");
+    conn.write(bytes.as_bytes()).await?;
+    Ok(true)
+}
+
+/// Binds a listener on a free port of this machine.
+///
+/// # Errors
+///
+/// The socket's error.
+pub async fn listener() -> std::io::Result<(async_net::TcpListener, SocketAddr)> {
+    let listener = async_net::TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    Ok((listener, address))
+}
--- /dev/null
+++ b/tests/gateway.rs
@@ -0,0 +1,343 @@
+//! A gateway before stand-ins of the platform: what callers and backend servers see.
+
+mod gateway_world;
+
+use std::time::Duration;
+
+use fulmarproxy::standin::placed_server::{self, Step};
+use gateway_world::{configuration, play, read, request};
+
+const PLENTY: u64 = 1_000_000;
+const TIMEOUT_MS: u64 = 5000;
+const USAGE: &str = "X-Token-Usage: 100,60\r\nX-Prompt-Prefix: a1:50,b2:30,c3:20\r\n";
+const NO_PAUSE: Duration = Duration::ZERO;
+
+#[test]
+fn a_request_is_answered_whole_by_its_server() {
+    play(&configuration(1, PLENTY, TIMEOUT_MS), async |world| {
+        let server = world.server("plain", |arrived| {
+            placed_server::signed(arrived, 200, "booked")
+        });
+        let server = server.await;
+        let forged = "X-Tenant: other\r\nX-Hold: 7\r\nX-Expect-Instance: i-9\r\nX-Own: kept\r\n";
+        let got = world
+            .ask("POST", "/book/1?a=b", forged, "a commission")
+            .await;
+        assert_eq!((got.status, &got.body[..]), (200, &b"booked"[..]));
+        let arrived = server.arrived.borrow();
+        let head = &arrived[0].head;
+        assert_eq!(head.target, "/book/1?a=b");
+        assert_eq!(arrived[0].body, b"a commission");
+        assert_eq!(head.headers.text("X-Tenant"), Some("desk"));
+        assert_eq!(head.headers.text("X-Expect-Instance"), Some("i-1"));
+        assert_eq!(head.headers.text("X-Own"), Some("kept"));
+        assert_eq!(head.headers.text("Authorization"), None);
+        assert_eq!(head.headers.text("X-Hold"), None);
+    });
+}
+
+#[test]
+fn a_stream_arrives_in_order_and_is_paid_for() {
+    play(&configuration(1, PLENTY, TIMEOUT_MS), async |world| {
+        let answer = |arrived: &_| placed_server::events(arrived, 0..5, NO_PAUSE);
+        world.server("model", answer).await;
+        let got = world.ask("POST", "/draft/1", USAGE, "prompt").await;
+        assert!(got.whole);
+        let text = String::from_utf8(got.body).unwrap();
+        let ids: Vec<&str> = text
+            .lines()
+            .filter_map(|line| line.strip_prefix("id: "))
+            .collect();
+        assert_eq!(ids, ["0", "1", "2", "3", "4"]);
+        // 100 tokens of input and five events of six.
+        world.until(|world| world.spent() == 130).await;
+    });
+}
+
+#[test]
+fn a_cancelled_request_counts_what_it_spent() {
+    play(&configuration(1, PLENTY, TIMEOUT_MS), async |world| {
+        let pause = Duration::from_secs(10);
+        let answer = move |arrived: &_| placed_server::events(arrived, 0..5, pause);
+        let server = world.server("model", answer).await;
+        let mut caller = world.connect().await;
+        let bytes = request("POST", "/draft/1", USAGE, "prompt");
+        caller.write(bytes.as_bytes()).await.unwrap();
+        while !caller.unread().windows(5).any(|window| window == b"id: 0") {
+            assert!(caller.fill().await.unwrap());
+        }
+        drop(caller);
+        world.until(|world| world.spent() == 106).await;
+        world.until(|_| server.abandoned.get() == 1).await;
+    });
+}
+
+#[test]
+fn a_request_that_was_sent_is_never_called_not_run() {
+    play(&configuration(1, PLENTY, 200), async |world| {
+        let server = world
+            .server("plain", |_| vec![Step::Wait(Duration::from_secs(10))])
+            .await;
+        let got = world.ask("POST", "/book/1", "", "a commission").await;
+        assert_eq!(got.status, 504);
+        assert_eq!(server.arrived.borrow().len(), 1);
+        assert_eq!(got.headers.text("Retry-After"), None);
+    });
+}
+
+#[test]
+fn a_request_that_may_run_once_is_sent_once() {
+    play(&configuration(1, PLENTY, TIMEOUT_MS), async |world| {
+        let first = world.server("plain", |_| vec![Step::Close]).await;
+        let second = world.server("plain", |_| vec![Step::Close]).await;
+        let got = world.ask("POST", "/book/1", "", "a commission").await;
+        assert_eq!(got.status, 502);
+        let sent = first.arrived.borrow().len() + second.arrived.borrow().len();
+        assert_eq!(sent, 1);
+    });
+}
+
+#[test]
+fn a_request_that_was_turned_away_is_sent_elsewhere() {
+    play(&configuration(1, PLENTY, TIMEOUT_MS), async |world| {
+        world.server("plain", |_| placed_server::not_run()).await;
+        world
+            .server("plain", |arrived| {
+                placed_server::signed(arrived, 200, "booked")
+            })
+            .await;
+        for _ in 0..4 {
+            let got = world.ask("POST", "/book/1", "", "a commission").await;
+            assert_eq!(got.status, 200);
+        }
+    });
+}
+
+#[test]
+fn a_stream_goes_on_at_another_server_after_its_last_whole_event() {
+    play(&configuration(1, PLENTY, TIMEOUT_MS), async |world| {
+        let answer = |arrived: &placed_server::Arrived| {
+            if arrived.head.headers.text("Last-Event-Id") == Some("1") {
+                return placed_server::events(arrived, 2..4, NO_PAUSE);
+            }
+            let mut steps = placed_server::events(arrived, 0..2, NO_PAUSE);
+            steps.pop();
+            steps.push(Step::Send(b"9\r\nid: 2\ndat\r\n".to_vec()));
+            steps.push(Step::Close);
+            steps
+        };
+        world.server("model", answer).await;
+        world.server("model", answer).await;
+        let got = world.ask("POST", "/ask/1", USAGE, "prompt").await;
+        let text = String::from_utf8(got.body).unwrap();
+        let ids: Vec<&str> = text
+            .lines()
+            .filter_map(|line| line.strip_prefix("id: "))
+            .collect();
+        assert_eq!((got.whole, ids), (true, vec!["0", "1", "2", "3"]));
+    });
+}
+
+#[test]
+fn an_answer_that_ends_early_never_looks_whole() {
+    play(&configuration(1, PLENTY, TIMEOUT_MS), async |world| {
+        let answer = |arrived: &_| {
+            let mut steps = placed_server::events(arrived, 0..2, NO_PAUSE);
+            steps.pop();
+            steps.push(Step::Close);
+            steps
+        };
+        world.server("model", answer).await;
+        let got = world.ask("POST", "/draft/1", USAGE, "prompt").await;
+        assert!(!got.whole);
+    });
+}
+
+#[test]
+fn a_late_answer_of_another_request_is_dropped() {
+    play(&configuration(1, PLENTY, TIMEOUT_MS), async |world| {
+        let answer = |arrived: &_| {
+            let late = "HTTP/1.1 200 X\r\nX-Request-Id: r0\r\nX-Response-Signature: s\r\n\
+                        Content-Length: 5\r\n\r\nother";
+            let mut steps = vec![Step::Send(late.as_bytes().to_vec())];
+            steps.extend(placed_server::signed(arrived, 200, "own"));
+            steps
+        };
+        world.server("plain", answer).await;
+        let got = world.ask("POST", "/book/1", "", "a commission").await;
+        assert_eq!(got.body, b"own");
+    });
+}
+
+#[test]
+fn an_unsigned_answer_is_no_success() {
+    play(&configuration(1, PLENTY, TIMEOUT_MS), async |world| {
+        let unsigned = b"HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\nhi".to_vec();
+        world
+            .server("plain", move |_| vec![Step::Send(unsigned.clone())])
+            .await;
+        let got = world.ask("POST", "/book/1", "", "a commission").await;
+        assert_eq!(got.status, 502);
+    });
+}
+
+#[test]
+fn a_spent_budget_refuses_until_a_top_up() {
+    play(&configuration(1, 300, TIMEOUT_MS), async |world| {
+        let answer = |arrived: &_| placed_server::events(arrived, 0..10, NO_PAUSE);
+        world.server("model", answer).await;
+        assert_eq!(
+            world.ask("POST", "/draft/1", USAGE, "prompt").await.status,
+            200
+        );
+        world.until(|world| world.spent() == 160).await;
+        let got = world.ask("POST", "/draft/1", USAGE, "prompt").await;
+        assert_eq!(got.status, 402);
+        world
+            .store
+            .put("op/config", &configuration(2, 600, TIMEOUT_MS).to_string());
+        world.until(|world| world.version() == 2).await;
+        assert_eq!(
+            world.ask("POST", "/draft/1", USAGE, "prompt").await.status,
+            200
+        );
+    });
+}
+
+#[test]
+fn a_write_whose_answer_was_lost_grants_nothing_twice() {
+    play(&configuration(1, 1000, TIMEOUT_MS), async |world| {
+        let answer = |arrived: &_| placed_server::events(arrived, 0..10, NO_PAUSE);
+        world.server("model", answer).await;
+        world.store.faults.lost_answers.set(2);
+        let mut served = 0;
+        for _ in 0..12 {
+            served += u32::from(world.ask("POST", "/draft/1", USAGE, "prompt").await.status == 200);
+        }
+        assert_eq!(served, 6, "six requests of 160 tokens fit into 1,000");
+    });
+}
+
+#[test]
+fn a_watch_that_was_cut_in_a_compaction_reads_anew() {
+    play(&configuration(1, PLENTY, TIMEOUT_MS), async |world| {
+        world.store.faults.is_mute.set(true);
+        world.store.put(
+            "op/config",
+            &configuration(2, PLENTY, TIMEOUT_MS).to_string(),
+        );
+        world.store.compact();
+        // The store hears again, but a watch that resumed would have waited for a next change.
+        world.until(|world| world.version() == 2).await;
+        world.store.faults.is_mute.set(false);
+    });
+}
+
+#[test]
+fn the_configuration_never_goes_back() {
+    play(&configuration(5, PLENTY, TIMEOUT_MS), async |world| {
+        world.store.put(
+            "op/config",
+            &configuration(4, PLENTY, TIMEOUT_MS).to_string(),
+        );
+        world
+            .store
+            .put("op/config", "{\"version\": 9, \"routes\": 3}");
+        world.store.put(
+            "op/config",
+            &configuration(6, PLENTY, TIMEOUT_MS).to_string(),
+        );
+        world.until(|world| world.version() == 6).await;
+    });
+}
+
+#[test]
+fn a_server_that_leaves_gets_no_more_requests() {
+    play(&configuration(1, PLENTY, TIMEOUT_MS), async |world| {
+        let server = world.server("plain", |arrived| {
+            placed_server::signed(arrived, 200, "yes")
+        });
+        let server = server.await;
+        world.store.remove("servers/i-1");
+        world
+            .until(|world| world.gw.known.borrow().servers.is_empty())
+            .await;
+        let got = world.ask("POST", "/book/1", "", "a commission").await;
+        assert_eq!(got.status, 503);
+        assert!(got.headers.text("Retry-After").is_some());
+        assert!(server.arrived.borrow().is_empty());
+    });
+}
+
+#[test]
+fn an_entry_that_cannot_be_read_names_no_server() {
+    play(&configuration(1, PLENTY, TIMEOUT_MS), async |world| {
+        world.store.put("servers/i-x", "{\"service\": 7}");
+        world
+            .server("plain", |arrived| {
+                placed_server::signed(arrived, 200, "yes")
+            })
+            .await;
+        assert_eq!(world.gw.known.borrow().servers.len(), 1);
+    });
+}
+
+#[test]
+fn two_readers_can_never_disagree_on_a_request() {
+    play(&configuration(1, PLENTY, TIMEOUT_MS), async |world| {
+        let server = world.server("plain", |arrived| {
+            placed_server::signed(arrived, 200, "yes")
+        });
+        let server = server.await;
+        for extra in [
+            "Transfer-Encoding: chunked\r\n",
+            "Content-Length: 5\r\n",
+            "Transfer-Encoding: xchunked\r\n",
+        ] {
+            let got = world.ask(
+                "POST",
+                "/book/1",
+                extra,
+                "0\r\n\r\nGET /look/1 HTTP/1.1\r\n\r\n",
+            );
+            assert_eq!(got.await.status, 400, "{extra}");
+        }
+        assert!(server.arrived.borrow().is_empty());
+    });
+}
+
+#[test]
+fn limits_and_keys_are_checked() {
+    play(&configuration(1, PLENTY, TIMEOUT_MS), async |world| {
+        let long = format!("X-Long: {}\r\n", "a".repeat(5000));
+        assert_eq!(world.ask("POST", "/book/1", &long, "").await.status, 431);
+        let large = "a".repeat(70_000);
+        assert_eq!(world.ask("POST", "/book/1", "", &large).await.status, 413);
+        assert_eq!(world.ask("POST", "/nowhere", "", "").await.status, 404);
+        let mut caller = world.connect().await;
+        let wrong = request("POST", "/book/1", "", "").replace("secret-of-desk", "guessed");
+        caller.write(wrong.as_bytes()).await.unwrap();
+        assert_eq!(read(&mut caller, "POST").await.status, 401);
+    });
+}
+
+#[test]
+fn a_store_that_is_away_leaves_what_is_known_in_force() {
+    play(&configuration(1, PLENTY, TIMEOUT_MS), async |world| {
+        world
+            .server("plain", |arrived| {
+                placed_server::signed(arrived, 200, "yes")
+            })
+            .await;
+        world.store.faults.refuses.set(true);
+        world.store.compact();
+        world.sleep(300).await;
+        assert_eq!(world.ask("POST", "/book/1", "", "").await.status, 200);
+        world.store.faults.refuses.set(false);
+        world.store.put(
+            "op/config",
+            &configuration(2, PLENTY, TIMEOUT_MS).to_string(),
+        );
+        world.until(|world| world.version() == 2).await;
+    });
+}
