Refuse at a leaving router what it could not finish before the kill

Ruled out: the wait for requests in flight, which ended at zero for the routers that were not sent any more.

--- a/src/coordination.rs
+++ b/src/coordination.rs
@@ -10,6 +10,7 @@
 pub mod crashes;
 pub mod demand;
 pub mod difference;
+pub mod draining;
 pub mod draw;
 pub mod ejection;
 pub mod escrow;
--- /dev/null
+++ b/src/coordination/draining.rs
@@ -0,0 +1,45 @@
+//! What a router that was told to stop still takes.
+//!
+//! Answers requests that keep coming after the signal: the platform needs seconds to send them
+//! elsewhere, and sends them here again when every other router of the zone leaves as well.
+
+use std::time::Duration;
+
+/// Time after the signal in which every request is taken: the platform asks for readiness once a
+/// second and takes a router out after two misses.
+pub const STILL_SENT: Duration = Duration::from_millis(2500);
+
+/// Time before the kill at which the process ends by itself, to give its tokens back.
+const BEFORE_KILL: Duration = Duration::from_millis(700);
+
+/// A shutdown under way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Draining {
+    /// When the signal came.
+    pub began: Duration,
+    /// When the process ends, whatever still runs.
+    pub end: Duration,
+}
+
+impl Draining {
+    /// A shutdown that begins now and is cut short by a kill after `grace`.
+    pub fn new(began: Duration, grace: Duration) -> Self {
+        let end = began + grace.saturating_sub(BEFORE_KILL);
+        Self { began, end }
+    }
+
+    /// Whether a request that may last so long is taken.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use fulmarproxy::coordination::draining;
+    /// let seconds = Duration::from_secs;
+    /// let draining = draining::Draining::new(seconds(0), seconds(8));
+    /// assert!(draining.takes(seconds(12), seconds(1)));
+    /// assert!(!draining.takes(seconds(12), seconds(4)));
+    /// assert!(draining.takes(seconds(1), seconds(4)));
+    /// ```
+    pub fn takes(&self, lasts: Duration, now: Duration) -> bool {
+        now < self.began + STILL_SENT || now + lasts <= self.end
+    }
+}
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -11,7 +11,7 @@
 };
 
 use crate::{
-    coordination::{crashes, ejection, placing, repeats, share, store_route},
+    coordination::{crashes, draining, ejection, placing, repeats, share, store_route},
     platform,
     state::{deployment, name, server},
     transport::{h1::pool, timers},
@@ -86,8 +86,8 @@
     pub peers: RefCell<HashMap<String, SocketAddr>>,
     /// Requests that are being answered.
     pub in_flight: Cell<usize>,
-    /// Whether the process is to stop.
-    pub is_leaving: Cell<bool>,
+    /// The shutdown, once the process was told to stop.
+    pub draining: Cell<Option<draining::Draining>>,
     /// Ledgers of budgets as they were last seen.
     pub ledgers: RefCell<HashMap<name::Name, platform::store::Item>>,
     /// Held while tokens are asked of the ledger; taken before any of the cells is borrowed.
@@ -127,7 +127,7 @@
             pool: RefCell::default(),
             peers: RefCell::default(),
             in_flight: Cell::new(0),
-            is_leaving: Cell::new(false),
+            draining: Cell::new(None),
             ledgers: RefCell::default(),
             obtaining: smol::lock::Mutex::new(()),
             exhausted: RefCell::default(),
@@ -195,9 +195,14 @@
         }
     }
 
+    /// Whether the process was told to stop.
+    pub fn is_leaving(&self) -> bool {
+        self.draining.get().is_some()
+    }
+
     /// Tells why the process takes no callers; `None` when it does.
     pub fn unready(&self) -> Option<&'static str> {
-        if self.is_leaving.get() {
+        if self.is_leaving() {
             return Some("leaving");
         }
         if self.deployment.borrow().is_none() {
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     code::Code,
+    coordination::draining,
     error,
     gateway::{core, refusal::Refusal, request},
     transport::h1::{body, conn, dial, fault, head},
@@ -15,13 +16,6 @@
 const FIRST_BODY_BYTES: usize = 4 << 20;
 const FIRST_IDLE: Duration = Duration::from_secs(15);
 
-/// Time after the signal to stop in which the platform still sends connections here: it asks
-/// once a second, and takes a process out after two misses.
-const STILL_SENT: Duration = Duration::from_millis(2500);
-
-/// Time before the kill at which the process ends by itself.
-const BEFORE_KILL: Duration = Duration::from_millis(700);
-
 /// How often the drain looks for requests in flight.
 const DRAIN_LOOK: Duration = Duration::from_millis(20);
 
@@ -58,14 +52,14 @@
 
 /// Stops taking requests and waits for those in flight.
 pub async fn drain(gw: &core::Gateway) {
-    gw.is_leaving.set(true);
-    let began = gw.now();
+    let draining = draining::Draining::new(gw.now(), gw.settings().grace);
+    gw.draining.set(Some(draining));
     let in_flight = gw.in_flight.get();
     tracing::info!(in_flight, "front: draining");
-    let end = began + gw.settings().grace.saturating_sub(BEFORE_KILL);
-    gw.timers.sleep(STILL_SENT.min(end - began)).await;
+    let wait = draining::STILL_SENT.min(draining.end.saturating_sub(gw.now()));
+    gw.timers.sleep(wait).await;
     gw.leaving.notify(usize::MAX);
-    while gw.in_flight.get() > 0 && gw.now() < end {
+    while gw.in_flight.get() > 0 && gw.now() < draining.end {
         gw.timers.sleep(DRAIN_LOOK).await;
     }
     let in_flight = gw.in_flight.get();
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -26,6 +26,10 @@
 /// list of servers.
 const COME_BACK: Duration = Duration::from_millis(300);
 
+/// Time after which a caller may come back that a leaving router refused: at once, since another
+/// connection leads to another router.
+const LEAVING_COME_BACK: Duration = Duration::from_millis(20);
+
 /// Extra sends of a request that certainly did not run anywhere yet.
 const EXTRA_SENDS: u32 = 2;
 
@@ -129,7 +133,7 @@
 
 /// Whether the connection closes after this answer.
 pub fn closes(gw: &core::Gateway, head: &head::RequestHead) -> bool {
-    gw.is_leaving.get() || !head.is_1_1 || head.headers.has_word("Connection", "close")
+    gw.is_leaving() || !head.is_1_1 || head.headers.has_word("Connection", "close")
 }
 
 /// Why a request got no answer of a server.
@@ -196,6 +200,14 @@
         .route(&host, path)
         .or_else(|| deployment.route(name, path));
     let route = route.ok_or_else(|| Refusal::new(Code::UnknownRoute, "no route of that path"))?;
+    if gw
+        .draining
+        .get()
+        .is_some_and(|draining| !draining.takes(route.timeout, received))
+    {
+        let message = "this router is leaving";
+        return Err(Refusal::new(Code::Draining, message).retry_after(LEAVING_COME_BACK));
+    }
     let mut workspace = None;
     if !deployment.workspaces.is_empty() && !route.is_public {
         let key = headers::api_key(&head.headers);
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -4,7 +4,10 @@
 
 use std::time::Duration;
 
-use fulmarproxy::standin::placed_server::{self, Step};
+use fulmarproxy::{
+    coordination::draining,
+    standin::placed_server::{self, Step},
+};
 use gateway_world::{configuration, play, read, request};
 
 const PLENTY: u64 = 1_000_000;
@@ -341,3 +344,20 @@
         world.until(|world| world.version() == 2).await;
     });
 }
+
+#[test]
+fn a_leaving_router_refuses_what_it_could_not_finish() {
+    play(&configuration(1, PLENTY, 9000), async |world| {
+        let server = world.server("plain", |arrived| {
+            placed_server::signed(arrived, 200, "yes")
+        });
+        let server = server.await;
+        let began = world.gw.now().saturating_sub(Duration::from_secs(3));
+        let draining = draining::Draining::new(began, Duration::from_secs(8));
+        world.gw.draining.set(Some(draining));
+        let got = world.ask("POST", "/book/1", "", "a commission").await;
+        assert_eq!(got.status, 503);
+        assert_eq!(got.headers.text("Connection"), Some("close"));
+        assert!(server.arrived.borrow().is_empty());
+    });
+}
--- a/tests/layout.rs
+++ b/tests/layout.rs
@@ -66,8 +66,10 @@
 
 #[test]
 fn layers_depend_in_one_direction() {
-    let layers = ["state", "coordination", "protocol", "transport"];
-    let top = ["router", "agent", "ctl", "daemon", "standin", "load"];
+    let layers = ["state", "coordination", "protocol", "transport", "platform"];
+    let top = [
+        "router", "agent", "gateway", "carrier", "ctl", "daemon", "standin", "load",
+    ];
     for (rank, layer) in layers.iter().enumerate() {
         let mut found = Vec::new();
         sources(&root().join("src").join(layer), &mut found);
