Let calls between routers go on when the request behind them is cancelled

Cause: a router gives tokens away before it answers; when the asking request was cancelled or had waited long enough, the call was dropped and the tokens were lost. Ruled out: tokens left at processes that stopped (at most 3 in 100 of these), unanswered writes.

--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -119,11 +119,18 @@
     if let Some(reservation) = take(gw, workspace, tokens) {
         return Ok(reservation);
     }
-    let obtained = gw.timers.within(WAIT, obtain(gw, workspace, tokens)).await;
+    // Goes on when the request is cancelled, so that what others gave is not lost.
+    let (tx, rx) = async_channel::bounded(1);
+    let (obtaining, wanted) = (gw.clone(), workspace.clone());
+    gw.spawn(async move {
+        let obtained = obtain(&obtaining, &wanted, tokens).await;
+        let _ = tx.try_send(obtained);
+    });
+    let obtained = gw.timers.within(WAIT, rx.recv()).await;
     match take(gw, workspace, tokens) {
         Some(reservation) => Ok(reservation),
         None => Err(match obtained {
-            Some(Obtained::Exhausted) => Short::Exhausted,
+            Some(Ok(Obtained::Exhausted)) => Short::Exhausted,
             _ => Short::Unreachable,
         }),
     }
@@ -191,7 +198,7 @@
 }
 
 async fn draw_from(
-    gw: &core::Gateway,
+    gw: &Rc<core::Gateway>,
     peer: SocketAddr,
     workspace: &name::Name,
     needed: u64,
@@ -207,21 +214,7 @@
         needed,
         extra,
     };
-    let given = draw::call(gw, peer, &call).await?;
-    receive(gw, &workspace, given.tokens);
-    Some(given)
-}
-
-fn receive(gw: &core::Gateway, workspace: &name::Name, tokens: u64) {
-    if tokens == 0 {
-        return;
-    }
-    let mut shares = gw.shares.borrow_mut();
-    let share = shares.entry(workspace.clone()).or_default();
-    share.receive(tokens);
-    let available = share.available();
-    counter!("fulmar_gateway_tokens_drawn_total").increment(tokens);
-    tracing::info!(%workspace, tokens, available, "budget: share grew from a router");
+    draw::call(gw, peer, call).await
 }
 
 fn available(gw: &core::Gateway, workspace: &str) -> u64 {
@@ -285,16 +278,14 @@
 }
 
 /// Asks every other router for what it has of a budget; false when one did not answer.
-async fn recall(gw: &core::Gateway, workspace: &name::Name) -> bool {
+async fn recall(gw: &Rc<core::Gateway>, workspace: &name::Name) -> bool {
     let peers: Vec<SocketAddr> = gw.peers.borrow().values().copied().collect();
     let asked = peers.into_iter().filter(|peer| draw::may_ask(gw, *peer));
     let call = draw::Call::Recall {
         workspace: workspace.clone(),
     };
-    let calls = asked.map(|peer| draw::call(gw, peer, &call));
+    let calls = asked.map(|peer| draw::call(gw, peer, call.clone()));
     let given = futures::future::join_all(calls).await;
-    let tokens = given.iter().flatten().map(|given| given.tokens).sum();
-    receive(gw, workspace, tokens);
     given.iter().all(Option::is_some)
 }
 
--- a/src/gateway/draw.rs
+++ b/src/gateway/draw.rs
@@ -18,6 +18,9 @@
 /// the store meanwhile.
 const LIMIT: Duration = Duration::from_millis(250);
 
+/// Time after which an answer is no longer expected; the home's own calls of the store end sooner.
+const LAST_LIMIT: Duration = Duration::from_secs(4);
+
 /// Longest wait for a connection to another router.
 const CONNECT_LIMIT: Duration = Duration::from_millis(100);
 
@@ -49,6 +52,14 @@
     },
 }
 
+impl Call {
+    fn workspace(&self) -> &name::Name {
+        match self {
+            Self::Draw { workspace, .. } | Self::Recall { workspace } => workspace,
+        }
+    }
+}
+
 /// Answer of a call.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, Serialize)]
 pub struct Given {
@@ -64,24 +75,54 @@
     silent.get(&peer).is_none_or(|until| gw.now() >= *until)
 }
 
-/// Calls a router; `None` when it does not answer.
-pub async fn call(gw: &core::Gateway, peer: SocketAddr, call: &Call) -> Option<Given> {
-    let answered = gw.timers.within(LIMIT, exchange(gw, peer, call)).await;
+/// Calls a router, which answers with tokens for this router's share; `None` when it does not
+/// answer in time. The call goes on then, and so it does when the request behind it is cancelled:
+/// the other router gives the tokens away before it answers, and they must not be lost.
+pub async fn call(gw: &Rc<core::Gateway>, peer: SocketAddr, call: Call) -> Option<Given> {
+    let (tx, rx) = async_channel::bounded(1);
+    let calling = gw.clone();
+    gw.spawn(async move {
+        let given = call_to_its_end(&calling, peer, &call).await;
+        // Nobody may wait any more; the tokens are in the share all the same.
+        let _ = tx.try_send(given);
+    });
+    let answered = gw.timers.within(LIMIT, rx.recv()).await;
+    let given = answered.and_then(Result::ok).flatten();
+    if given.is_none() {
+        let until = gw.now() + PASSED_OVER;
+        gw.silent_peers.borrow_mut().insert(peer, until);
+    }
+    given
+}
+
+async fn call_to_its_end(gw: &Rc<core::Gateway>, peer: SocketAddr, call: &Call) -> Option<Given> {
+    let answered = gw.timers.within(LAST_LIMIT, exchange(gw, peer, call)).await;
     let cause = match answered {
         Some(Ok(given)) => {
             gw.silent_peers.borrow_mut().remove(&peer);
+            receive(gw, call.workspace(), given.tokens);
             return Some(given);
         }
         Some(Err(err)) => err.to_string(),
-        None => format!("no answer within {LIMIT:?}"),
+        None => format!("no answer within {LAST_LIMIT:?}"),
     };
     counter!("fulmar_gateway_peer_failures_total").increment(1);
     tracing::info!(%peer, cause, "budget: a router did not answer");
-    let until = gw.now() + PASSED_OVER;
-    gw.silent_peers.borrow_mut().insert(peer, until);
     None
 }
 
+fn receive(gw: &core::Gateway, workspace: &name::Name, tokens: u64) {
+    if tokens == 0 {
+        return;
+    }
+    let mut shares = gw.shares.borrow_mut();
+    let share = shares.entry(workspace.clone()).or_default();
+    share.receive(tokens);
+    let available = share.available();
+    counter!("fulmar_gateway_tokens_drawn_total").increment(tokens);
+    tracing::info!(%workspace, tokens, available, "budget: share grew from a router");
+}
+
 async fn exchange(
     gw: &core::Gateway,
     peer: SocketAddr,
