--- a/src/coordination/draining.rs
+++ b/src/coordination/draining.rs
@@ -46,6 +46,6 @@
     /// assert!(draining.takes(seconds(1), seconds(4)));
     /// ```
     pub fn takes(&self, lasts: Duration, now: Duration) -> bool {
-        now < self.began + STILL_SENT || now + lasts <= self.end
+        !self.is_closed && (now < self.began + STILL_SENT || now + lasts <= self.end)
     }
 }
