--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -1,13 +1,14 @@
 //! The gateway: a router that sends callers' requests straight to backend servers.
 //!
 //! The platform's store holds the configuration, the list of backend servers and the ledgers of
-//! budgets. Modules, each using only those after it: [`front`], [`request`], [`relay`],
+//! budgets. Modules, each using only those after it: [`front`], [`request`], [`admission`], [`relay`],
 //! [`exchange`], [`budget`], [`ledger`], [`draw`], [`follow`], [`directory`], [`fleet`], [`core`].
 
 use std::rc::Rc;
 
 use crate::{error, logging, platform, transport::admin};
 
+pub mod admission;
 pub mod budget;
 pub mod core;
 pub mod directory;
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -11,7 +11,7 @@
 };
 
 use crate::{
-    coordination::{crashes, draining, ejection, placing, repeats, share, store_route},
+    coordination::{draining, ejection, placing, repeats, share, store_route},
     platform,
     state::{deployment, name, server},
     transport::{h1::pool, timers},
@@ -76,8 +76,6 @@
     pub ejection: RefCell<ejection::Ejection>,
     /// Repeats that are left.
     pub repeats: RefCell<repeats::Repeats>,
-    /// Requests that crash backend servers.
-    pub crashes: RefCell<crashes::Crashes>,
     /// Shares of budgets, by workspace.
     pub shares: RefCell<HashMap<name::Name, share::Share>>,
     /// Idle connections to backend servers.
@@ -122,7 +120,6 @@
             placing: RefCell::default(),
             ejection: RefCell::default(),
             repeats: RefCell::default(),
-            crashes: RefCell::default(),
             shares: RefCell::default(),
             pool: RefCell::default(),
             peers: RefCell::default(),
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -8,28 +8,16 @@
 use crate::{
     code::Code,
     gateway::{
-        budget, core, directory,
-        exchange::{self, Outgoing},
+        admission::{self, Admitted, COME_BACK},
+        budget, core, directory, exchange,
         refusal::Refusal,
         relay,
     },
     platform::headers,
-    state::{deployment, server},
+    state::server,
     transport::h1::{conn, fault, head},
 };
 
-/// Time past a route's timeout at which a request is ended: a server's own answer at its deadline
-/// still comes through, and the platform allows half a second.
-const TIMEOUT_SLACK: Duration = Duration::from_millis(150);
-
-/// Time after which a caller may come back when no server could be used: about two rounds of the
-/// list of servers.
-const COME_BACK: Duration = Duration::from_millis(300);
-
-/// Time after which a caller may come back that a leaving router refused: at once, since another
-/// connection leads to another router.
-const LEAVING_COME_BACK: Duration = Duration::from_millis(20);
-
 /// Extra sends of a request that certainly did not run anywhere yet.
 const EXTRA_SENDS: u32 = 2;
 
@@ -42,34 +30,6 @@
     Broken,
 }
 
-/// A request that passed the guards.
-struct Admitted {
-    out: Outgoing,
-    route: Arc<deployment::Route>,
-    service: Arc<deployment::Service>,
-    part: Option<u64>,
-    need: headers::TokenNeed,
-    received: Duration,
-    deadline: Option<Duration>,
-}
-
-impl Admitted {
-    /// Time at which the request is ended.
-    fn end(&self) -> Duration {
-        self.received + self.route.timeout + TIMEOUT_SLACK
-    }
-
-    /// Time that the server has, from now.
-    fn left(&self, now: Duration) -> Duration {
-        let spent = now.saturating_sub(self.received);
-        let timeout = self.route.timeout.saturating_sub(spent);
-        match self.deadline {
-            Some(deadline) => timeout.min(deadline.saturating_sub(spent)),
-            None => timeout,
-        }
-    }
-}
-
 /// Answers one request.
 pub async fn serve(
     gw: &Rc<core::Gateway>,
@@ -158,7 +118,7 @@
     received: Duration,
     close: bool,
 ) -> Result<(), Stop> {
-    let req = admit(gw, head, body, received)?;
+    let req = admission::admit(gw, head, body, received)?;
     let reservation = set_aside(gw, &req).await?;
     let limit = req.end().saturating_sub(gw.now());
     let engine = req.service.engine.as_ref();
@@ -181,91 +141,6 @@
     }
 }
 
-/// Guards: configuration, route, key, fields.
-fn admit(
-    gw: &core::Gateway,
-    head: head::RequestHead,
-    body: Vec<u8>,
-    received: Duration,
-) -> Result<Admitted, Refusal> {
-    let deployment = gw.deployment().ok_or_else(|| {
-        Refusal::new(Code::NotReady, "no configuration yet").retry_after(COME_BACK)
-    })?;
-    let host = head
-        .headers
-        .text("Host")
-        .unwrap_or_default()
-        .to_ascii_lowercase();
-    let name = host.split(':').next().unwrap_or_default();
-    let path = head.target.split('?').next().unwrap_or_default();
-    let route = deployment
-        .route(&host, path)
-        .or_else(|| deployment.route(name, path));
-    let route = route.ok_or_else(|| Refusal::new(Code::UnknownRoute, "no route of that path"))?;
-    if gw
-        .draining
-        .get()
-        .is_some_and(|draining| !draining.takes(route.timeout, received))
-    {
-        let message = "this router is leaving";
-        return Err(Refusal::new(Code::Draining, message).retry_after(LEAVING_COME_BACK));
-    }
-    let mut workspace = None;
-    if !deployment.workspaces.is_empty() && !route.is_public {
-        let key = headers::api_key(&head.headers);
-        let found = key.and_then(|key| deployment.keys.get(key));
-        let found = found.ok_or_else(|| Refusal::new(Code::BadKey, "the key is unknown"))?;
-        workspace = Some(found.clone());
-    }
-    let service = pick_service(&deployment, route).ok_or_else(|| {
-        Refusal::new(Code::NoBackend, "the route's service is not known").retry_after(COME_BACK)
-    })?;
-    let parts = headers::prompt_parts(&head.headers);
-    // The last part is the request's own; the one before it is the last that others share.
-    let shared = parts.len().saturating_sub(2);
-    let part = parts.get(shared).map(|part| part.id);
-    let need = headers::token_need(&head.headers).unwrap_or_default();
-    let priority = workspace.as_ref().and_then(|workspace| workspace.priority);
-    let priority = priority.unwrap_or(route.priority).min(9);
-    let priority = service.engine.as_ref().map(|_| priority);
-    let deadline = headers::deadline(&head.headers);
-    let id = head
-        .headers
-        .text(headers::REQUEST_ID)
-        .unwrap_or_default()
-        .to_owned();
-    Ok(Admitted {
-        out: Outgoing {
-            id,
-            head,
-            body,
-            workspace,
-            priority,
-        },
-        route: route.clone(),
-        service,
-        part,
-        need,
-        received,
-        deadline,
-    })
-}
-
-/// Picks one of a route's services by their weights.
-fn pick_service(
-    deployment: &deployment::Deployment,
-    route: &deployment::Route,
-) -> Option<Arc<deployment::Service>> {
-    let total: f64 = route.targets.iter().map(|target| target.weight).sum();
-    let mut at = fastrand::f64() * total;
-    let picked = route.targets.iter().find(|target| {
-        at -= target.weight;
-        at < 0.0
-    });
-    let picked = picked.or(route.targets.last())?;
-    deployment.services.get(&picked.service).cloned()
-}
-
 async fn set_aside(
     gw: &Rc<core::Gateway>,
     req: &Admitted,
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -6,3 +6,4 @@
 pub mod servers;
 pub mod settings;
 pub mod store;
+mod store_wire;
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -13,7 +13,6 @@
 struct File {
     node: String,
     ip: std::net::IpAddr,
-    zone: String,
     internal_ports: [u16; 2],
     #[serde(default)]
     listen: Listen,
@@ -29,7 +28,6 @@
 
 #[derive(Deserialize)]
 struct Bounds {
-    drain_ms: f64,
     grace_s: f64,
     retry_budget_ratio: f64,
     budget_window_s: f64,
@@ -58,8 +56,6 @@
 pub struct Settings {
     /// Name of the VM.
     pub vm: name::Name,
-    /// Availability zone of the VM.
-    pub zone: name::Name,
     /// Address for callers.
     pub listen: SocketAddr,
     /// Address at which the platform asks for readiness.
@@ -70,8 +66,6 @@
     pub admin_listen: SocketAddr,
     /// Address of the platform's store.
     pub store: SocketAddr,
-    /// Longest time that a leaving backend server may get new work.
-    pub drain: Duration,
     /// Time from the signal to stop to the kill.
     pub grace: Duration,
     /// Repeats allowed for each request of a service.
@@ -126,13 +120,11 @@
     let ready = file.listen.ready;
     Ok(Settings {
         vm: name::Name::from(&*file.node),
-        zone: name::Name::from(&*file.zone),
         listen: listen.ok_or_else(|| wrong("listen.front", "an address for callers"))?,
         ready_listen: ready.ok_or_else(|| wrong("listen.ready", "an address for readiness"))?,
         fleet_listen: file.port(0),
         admin_listen: file.port(1),
         store: file.provider.address,
-        drain: seconds(file.bounds.drain_ms / 1000.0, "bounds.drain_ms")?,
         grace: seconds(file.bounds.grace_s, "bounds.grace_s")?,
         repeats_per_request: file.bounds.retry_budget_ratio,
         repeat_window: seconds(file.bounds.budget_window_s, "bounds.budget_window_s")?,
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -4,11 +4,17 @@
 
 use base64::Engine as _;
 use derive_more::{Display, Error};
-use serde::{Deserialize, Serialize};
+use serde::Deserialize;
 
-use crate::transport::{
-    h1::{body, conn, dial, fault, head, pool},
-    timers,
+use crate::{
+    platform::store_wire::{
+        WireConflict, WireDone, WireEvents, WireExpected, WireLease, WirePage, WirePut, WireWrite,
+        change, encoded, item,
+    },
+    transport::{
+        h1::{body, conn, dial, fault, head, pool},
+        timers,
+    },
 };
 
 /// Longest wait for the answer of a call; a slow store takes a quarter of a second.
@@ -139,67 +145,6 @@
     pool: RefCell<pool::Pool>,
 }
 
-#[derive(Deserialize)]
-struct WireItem {
-    key: String,
-    #[serde(default)]
-    value: String,
-    #[serde(default)]
-    revision: u64,
-    #[serde(default)]
-    deleted: bool,
-}
-
-#[derive(Deserialize)]
-struct WirePage {
-    items: Vec<WireItem>,
-    #[serde(default)]
-    has_more: bool,
-    store_revision: u64,
-}
-
-#[derive(Deserialize)]
-struct WireEvents {
-    events: Vec<WireItem>,
-    store_revision: u64,
-}
-
-#[derive(Deserialize)]
-struct WireConflict {
-    items: Vec<WireItem>,
-}
-
-#[derive(Deserialize)]
-struct WireDone {
-    revision: u64,
-}
-
-#[derive(Deserialize)]
-struct WireLease {
-    lease: u64,
-    ttl_ms: u64,
-}
-
-#[derive(Serialize)]
-struct WireExpected<'a> {
-    key: &'a str,
-    revision: u64,
-}
-
-#[derive(Serialize)]
-struct WirePut<'a> {
-    key: &'a str,
-    value: String,
-    lease: u64,
-}
-
-#[derive(Serialize)]
-struct WireWrite<'a> {
-    expected_revision: Vec<WireExpected<'a>>,
-    puts: Vec<WirePut<'a>>,
-    remove: &'a [String],
-}
-
 /// Why an exchange has no answer.
 enum Failed {
     NotSent(String),
@@ -225,32 +170,6 @@
     body: Vec<u8>,
 }
 
-fn encoded(key: &str) -> String {
-    let keep = |b: u8| b.is_ascii_alphanumeric() || b"-_./".contains(&b);
-    let encode = |b: u8| match keep(b) {
-        true => char::from(b).to_string(),
-        false => format!("%{b:02X}"),
-    };
-    key.bytes().map(encode).collect()
-}
-
-fn item(wire: WireItem) -> Result<Item, String> {
-    let value = base64::engine::general_purpose::STANDARD.decode(&wire.value);
-    let value = value.map_err(|err| format!("the value of {} is not base64: {err}", wire.key))?;
-    Ok(Item {
-        key: wire.key,
-        value,
-        revision: wire.revision,
-    })
-}
-
-fn change(wire: WireItem) -> Result<Change, String> {
-    match wire.deleted {
-        true => Ok(Change::Removed(wire.key)),
-        false => item(wire).map(Change::Written),
-    }
-}
-
 fn parse<'a, T: Deserialize<'a>>(call: &'static str, answer: &'a Answer) -> Result<T, StoreError> {
     let parsed = serde_json::from_slice(&answer.body);
     parsed.map_err(|err| no_answer(call, err.to_string()))
--- a/tests/gateway_world/mod.rs
+++ b/tests/gateway_world/mod.rs
@@ -92,13 +92,11 @@
         executor.spawn(serving).detach();
         let settings = settings::Settings {
             vm: "entry-1".into(),
-            zone: "zone-a".into(),
             listen: any_port(),
             ready_listen: any_port(),
             fleet_listen: any_port(),
             admin_listen: any_port(),
             store: address,
-            drain: Duration::from_secs(2),
             grace: Duration::from_secs(8),
             repeats_per_request: 0.2,
             repeat_window: Duration::from_secs(10),
