--- a/src/platform/store_wire.rs
+++ b/src/platform/store_wire.rs
@@ -1,4 +1,5 @@
 //! Messages of the store as they stand on the wire.
+
 use base64::Engine as _;
 use serde::{Deserialize, Serialize};
 
