Keep a router that gave its tokens back from taking them again

Cause: a router that had closed its account went on to look at its shares and wrote itself into the ledger again, with all that it had ever been granted, beside the closed part. A store that was away for a moment also ended the closing, and a lost answer counted the account twice.

The account now closes once, under the lock of the ledger: nothing is taken afterwards, the next home is asked instead, and the closing is tried again for 1.6 s. The ledger names those who closed last, so that a retry changes nothing.

Ruled out: writes with a lost answer while filling; the next fill sets the holder's own figure.

--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -232,6 +232,9 @@
     if available(gw, workspace) >= needed {
         return Obtained::Some;
     }
+    if gw.account_closed.get() {
+        return Obtained::Nothing;
+    }
     if is_known_exhausted(gw, workspace, prepaid, needed) {
         return Obtained::Exhausted;
     }
@@ -294,8 +297,11 @@
     deployment.workspaces.get(workspace)?.prepaid_tokens
 }
 
-/// Answers another router.
-async fn answer(gw: &Rc<core::Gateway>, call: draw::Call) -> draw::Given {
+/// Answers another router; `None` when this one is no home any more and the next is to be asked.
+async fn answer(gw: &Rc<core::Gateway>, call: draw::Call) -> Option<draw::Given> {
+    if gw.account_closed.get() {
+        return None;
+    }
     let (tokens, is_exhausted) = match call {
         draw::Call::Draw {
             workspace,
@@ -316,10 +322,10 @@
             (shares.entry(workspace).or_default().give_all(), false)
         }
     };
-    draw::Given {
+    Some(draw::Given {
         tokens,
         is_exhausted,
-    }
+    })
 }
 
 /// Starts to answer other routers and to keep the shares filled.
@@ -376,6 +382,9 @@
         return;
     }
     let one = gw.obtaining.lock().await;
+    if gw.account_closed.get() {
+        return;
+    }
     if let Err(err) = ledger::fill(gw, &fills).await {
         counter!("fulmar_gateway_store_failures_total", "part" => "budget").increment(1);
         tracing::warn!(%err, "budget: shares not filled");
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -90,6 +90,8 @@
     pub ledgers: RefCell<HashMap<name::Name, platform::store::Item>>,
     /// Held while tokens are asked of the ledger; taken before any of the cells is borrowed.
     pub obtaining: smol::lock::Mutex<()>,
+    /// Whether all tokens were given back: none are taken from the ledgers any more.
+    pub account_closed: Cell<bool>,
     /// Budgets that were found exhausted.
     pub exhausted: RefCell<HashMap<name::Name, share::Exhausted>>,
     /// Routers that did not answer, and until when they are passed over.
@@ -127,6 +129,7 @@
             draining: Cell::new(None),
             ledgers: RefCell::default(),
             obtaining: smol::lock::Mutex::new(()),
+            account_closed: Cell::new(false),
             exhausted: RefCell::default(),
             silent_peers: RefCell::default(),
             routers_seen: Cell::default(),
--- a/src/gateway/draw.rs
+++ b/src/gateway/draw.rs
@@ -152,10 +152,10 @@
     Ok(given)
 }
 
-/// Serves the calls of other routers with `answer`.
+/// Serves the calls of other routers with `answer`; without one the connection ends.
 pub async fn serve<F>(gw: Rc<core::Gateway>, listener: async_net::TcpListener, answer: F)
 where
-    F: AsyncFn(&Rc<core::Gateway>, Call) -> Given + Clone + 'static,
+    F: AsyncFn(&Rc<core::Gateway>, Call) -> Option<Given> + Clone + 'static,
 {
     loop {
         let stream = match listener.accept().await {
@@ -171,7 +171,9 @@
         gw.spawn(async move {
             let mut conn = conn::Conn::new(stream);
             while let Ok(Some(call)) = next(&mut conn).await {
-                let given = answer(&serving, call).await;
+                let Some(given) = answer(&serving, call).await else {
+                    return;
+                };
                 let body = serde_json::to_string(&given).unwrap_or_default();
                 let len = body.len();
                 let bytes = format!("HTTP/1.1 200 OK\r\nContent-Length: {len}\r\n\r\n{body}");
--- a/src/gateway/ledger.rs
+++ b/src/gateway/ledger.rs
@@ -1,6 +1,6 @@
 //! Fills shares from the ledgers in the store, and gives back at the end.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use metrics::{counter, gauge};
 
@@ -17,6 +17,13 @@
 /// Workspaces in one write; the store takes 32 entries.
 const BATCH: usize = 12;
 
+/// Longest time that a leaving router tries to give its tokens back: two calls without an answer.
+/// The platform's kill ends it sooner when the drain took all of the time.
+const CLOSING_LIMIT: Duration = Duration::from_millis(1600);
+
+/// Pause between two of these tries.
+const CLOSING_PAUSE: Duration = Duration::from_millis(100);
+
 /// Tries of one write against other routers' writes.
 const TRIES: usize = 6;
 
@@ -207,7 +214,10 @@
 }
 
 /// Gives back all that is left, and moves what was spent to the closed part of the ledgers.
+/// Nothing is taken from them afterwards.
 pub async fn close(gw: &Rc<core::Gateway>) {
+    let _one = gw.obtaining.lock().await;
+    gw.account_closed.set(true);
     let workspaces: Vec<name::Name> = {
         let mut shares = gw.shares.borrow_mut();
         for share in shares.values_mut() {
@@ -215,22 +225,31 @@
         }
         shares.keys().cloned().collect()
     };
+    let until = gw.now() + CLOSING_LIMIT;
     for batch in workspaces.chunks(BATCH) {
-        if let Err(err) = close_batch(gw, batch).await {
-            tracing::warn!(%err, "budget: tokens not given back at the end");
+        if !close_batch(gw, batch, until).await {
+            tracing::warn!(?batch, "budget: tokens not given back at the end");
         }
     }
 }
 
-async fn close_batch(gw: &core::Gateway, batch: &[name::Name]) -> Result<(), store::StoreError> {
-    for _ in 0..TRIES {
+/// Closes some accounts; false when the store did not take it in time.
+async fn close_batch(gw: &core::Gateway, batch: &[name::Name], until: Duration) -> bool {
+    while gw.now() < until {
         let write = plan_closing(gw, batch);
-        if write.puts.is_empty() || commit(gw, &write).await? {
-            return Ok(());
+        if write.puts.is_empty() {
+            return true;
+        }
+        match commit(gw, &write).await {
+            Ok(true) => return true,
+            Ok(false) => (),
+            Err(err) => {
+                tracing::info!(%err, "budget: giving tokens back is tried again");
+                gw.timers.sleep(CLOSING_PAUSE).await;
+            }
         }
     }
-    tracing::warn!("budget: other routers' writes came first, tokens not given back at the end");
-    Ok(())
+    false
 }
 
 fn plan_closing(gw: &core::Gateway, batch: &[name::Name]) -> store::Write {
@@ -244,11 +263,9 @@
             continue;
         };
         let granted = shares.get(workspace).map_or(0, share::Share::granted);
-        if ledger.holders.remove(&holder).is_none() && granted == 0 {
-            continue;
+        if ledger.close(&holder, granted) {
+            put(&mut write, workspace, item, &ledger);
         }
-        ledger.closed += granted;
-        put(&mut write, workspace, item, &ledger);
     }
     write
 }
--- a/src/state/share_ledger.rs
+++ b/src/state/share_ledger.rs
@@ -1,6 +1,6 @@
 //! The ledger of one workspace's budget, as it lies in the store.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use serde::{Deserialize, Serialize};
 
@@ -20,9 +20,39 @@
     pub holders: BTreeMap<String, Holding>,
     /// Tokens of holders that have closed their account.
     pub closed: i64,
+    /// Holders that closed their account last, so that one whose write had no answer knows.
+    #[serde(default, skip_serializing_if = "VecDeque::is_empty")]
+    pub lately_closed: VecDeque<String>,
 }
 
+/// Holders that are kept in `lately_closed`: as many as close within the seconds that a router
+/// tries for, when a whole fleet of the size seen leaves at once.
+const LATELY: usize = 32;
+
 impl ShareLedger {
+    /// Closes an account that holds `granted` tokens, once; false when there was nothing to close.
+    ///
+    /// ```
+    /// use fulmarproxy::state::share_ledger::ShareLedger;
+    /// let mut ledger = ShareLedger::default();
+    /// assert!(ledger.close("a/1", 5));
+    /// assert!(!ledger.close("a/1", 5), "an answer was lost, and it is tried again");
+    /// assert_eq!(ledger.granted(), 5);
+    /// ```
+    pub fn close(&mut self, holder: &str, granted: i64) -> bool {
+        let was_held = self.holders.remove(holder).is_some();
+        let was_closed = self.lately_closed.iter().any(|closed| closed == holder);
+        if !was_held && (was_closed || granted == 0) {
+            return false;
+        }
+        self.closed += granted;
+        self.lately_closed.push_back(holder.to_owned());
+        if self.lately_closed.len() > LATELY {
+            self.lately_closed.pop_front();
+        }
+        true
+    }
+
     /// Tokens granted to anyone and not given back; what routers give each other does not change
     /// it.
     ///
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -2,13 +2,15 @@
 
 mod gateway_world;
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use fulmarproxy::{
     coordination::draining,
+    gateway::ledger,
     standin::placed_server::{self, Step},
+    state::share_ledger,
 };
-use gateway_world::{configuration, play, read, request};
+use gateway_world::{World, configuration, play, read, request};
 
 const PLENTY: u64 = 1_000_000;
 const TIMEOUT_MS: u64 = 5000;
@@ -411,3 +413,53 @@
         assert!(server.arrived.borrow().is_empty());
     });
 }
+
+/// A router that gave its tokens back went on to fill its reserve: it stood in the ledger again
+/// with all it ever had, beside the closed part, and half of a budget was out of reach.
+#[test]
+fn a_closed_account_is_not_opened_again() {
+    play(&configuration(1, 10_000, TIMEOUT_MS), async |world| {
+        let answer = |arrived: &_| placed_server::events(arrived, 0..10, NO_PAUSE);
+        world.server("model", answer).await;
+        assert_eq!(
+            world.ask("POST", "/draft/1", USAGE, "prompt").await.status,
+            200
+        );
+        ledger::close(&world.gw).await;
+        assert_closed(&world, 160);
+        // More than the reserve, so that the router would ask the ledger; and two looks at shares.
+        let got = world.ask("POST", "/draft/1", USAGE, "prompt").await;
+        assert_eq!(got.status, 429);
+        world.sleep(1100).await;
+        assert_closed(&world, 160);
+    });
+}
+
+/// The store was away for a moment: what was left was lost. The end of a write was unknown.
+#[test]
+fn a_leaving_router_tries_again_to_give_its_tokens_back() {
+    play(&configuration(1, 10_000, TIMEOUT_MS), async |world| {
+        let answer = |arrived: &_| placed_server::events(arrived, 0..10, NO_PAUSE);
+        world.server("model", answer).await;
+        assert_eq!(
+            world.ask("POST", "/draft/1", USAGE, "prompt").await.status,
+            200
+        );
+        world.store.faults.lost_answers.set(1);
+        world.store.faults.refuses.set(true);
+        let back = async {
+            world.sleep(300).await;
+            world.store.faults.refuses.set(false);
+        };
+        futures::join!(ledger::close(&world.gw), back);
+        assert_closed(&world, 160);
+    });
+}
+
+/// Asserts that nobody holds tokens of the budget and how many are spent for good.
+fn assert_closed(world: &World, closed: i64) {
+    let text = world.store.text("fulmar/budgets/desk").unwrap();
+    let ledger: share_ledger::ShareLedger = serde_json::from_str(&text).unwrap();
+    assert_eq!(ledger.holders, BTreeMap::new());
+    assert_eq!(ledger.closed, closed);
+}
