--- a/src/carrier.rs
+++ b/src/carrier.rs
@@ -7,7 +7,7 @@
 use crate::{
     error, logging, platform,
     transport::{
-        h1::{conn, dial},
+        h1::{accept, conn, dial},
         timers,
     },
 };
@@ -18,9 +18,6 @@
 /// Connections carried at once; each router uses a handful.
 const MOST: usize = 512;
 
-/// Pause after a failed accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-
 /// Runs a carrier with the settings file at `path` until it is told to stop.
 ///
 /// # Errors
@@ -42,39 +39,25 @@
     let carried = Rc::new(Cell::new(0));
     tracing::info!(vm = %settings.vm, store = %settings.store, "carrier: started");
     loop {
-        let (stream, from) = match listener.accept().await {
-            Ok(accepted) => accepted,
-            Err(err) => {
-                tracing::warn!(%err, "carrier: accepting failed");
-                timers.sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
+        let stream = accept::next(&listener, "carrier", &timers).await;
         if carried.get() >= MOST {
-            tracing::warn!(%from, carried = MOST, "carrier: too many connections, one refused");
+            tracing::warn!(carried = MOST, "carrier: too many connections, one refused");
             continue;
         }
-        let task = carry(
-            stream,
-            from,
-            settings.store,
-            timers.clone(),
-            carried.clone(),
-        );
+        let task = carry(stream, settings.store, timers.clone(), carried.clone());
         executor.spawn(task).detach();
     }
 }
 
 async fn carry(
     stream: async_net::TcpStream,
-    from: SocketAddr,
     store: SocketAddr,
     timers: timers::Timers,
     carried: Rc<Cell<usize>>,
 ) {
     carried.set(carried.get() + 1);
     if let Err(err) = pass(&stream, store, &timers).await {
-        tracing::info!(%from, %err, "carrier: a connection ended");
+        tracing::info!(%err, "carrier: a connection ended");
     }
     carried.set(carried.get() - 1);
 }
--- a/src/coordination.rs
+++ b/src/coordination.rs
@@ -2,6 +2,7 @@
 
 pub mod account;
 pub mod answers;
+pub mod attempts;
 pub mod balance;
 pub mod check;
 pub mod claims;
--- a/src/coordination/share.rs
+++ b/src/coordination/share.rs
@@ -89,7 +89,6 @@
     reserved: u64,
     rate: f64,
     rated_at: Duration,
-    largest: u64,
 }
 
 impl Share {
@@ -123,7 +122,6 @@
     /// assert_eq!(share.available(), 6);
     /// ```
     pub fn reserve(&mut self, tokens: u64, now: Duration) -> bool {
-        self.largest = self.largest.max(tokens);
         if self.available() < tokens {
             return false;
         }
@@ -170,7 +168,6 @@
     /// assert_eq!(share.available(), 838);
     /// ```
     pub fn give(&mut self, needed: u64, extra: u64, now: Duration) -> u64 {
-        self.largest = self.largest.max(needed);
         self.note(needed, now);
         let available = self.available();
         if available < needed {
@@ -179,8 +176,6 @@
         let beyond = (available - needed)
             .min(extra)
             .min(available / DRAWN_DIVISOR);
-        // The rest of a small budget is not taken apart.
-        let beyond = beyond.min(available - needed);
         let given = needed + beyond;
         self.note(beyond, now);
         self.given += given;
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -280,16 +280,18 @@
     known.is_some_and(|known| known.covers(prepaid, needed, now))
 }
 
-/// Asks every other router for what it has of a budget; false when one did not answer.
+/// Asks every other router for what it has of a budget; false when one did not answer, now or of
+/// late.
 async fn recall(gw: &Rc<core::Gateway>, workspace: &name::Name) -> bool {
     let peers: Vec<SocketAddr> = gw.peers.borrow().values().copied().collect();
+    let listed = peers.len();
     let asked = peers.into_iter().filter(|peer| draw::may_ask(gw, *peer));
     let call = draw::Call::Recall {
         workspace: workspace.clone(),
     };
     let calls = asked.map(|peer| draw::call(gw, peer, call.clone()));
     let given = futures::future::join_all(calls).await;
-    given.iter().all(Option::is_some)
+    given.iter().flatten().count() == listed
 }
 
 fn prepaid(gw: &core::Gateway, workspace: &str) -> Option<u64> {
--- a/src/gateway/draw.rs
+++ b/src/gateway/draw.rs
@@ -11,7 +11,7 @@
 use crate::{
     gateway::core,
     state::name,
-    transport::h1::{body, conn, dial, fault, head},
+    transport::h1::{accept, body, conn, dial, fault, head},
 };
 
 /// Longest wait for another router; a round trip takes a few milliseconds, and the home may ask
@@ -158,14 +158,7 @@
     F: AsyncFn(&Rc<core::Gateway>, Call) -> Option<Given> + Clone + 'static,
 {
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(err) => {
-                tracing::warn!(%err, "budget: accepting a router failed");
-                gw.timers.sleep(CONNECT_LIMIT).await;
-                continue;
-            }
-        };
+        let stream = accept::next(&listener, "budget", &gw.timers).await;
         let serving = gw.clone();
         let answer = answer.clone();
         gw.spawn(async move {
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -7,7 +7,7 @@
     coordination::draining,
     error,
     gateway::{core, refusal::Refusal, request},
-    transport::h1::{body, conn, dial, fault, head},
+    transport::h1::{accept, body, conn, dial, fault, head},
 };
 
 /// Limits before there is a configuration: a head of 16 KB, 3 s to send it.
@@ -36,16 +36,9 @@
     let accepting = gw.clone();
     gw.spawn(async move {
         loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    let serving = accepting.clone();
-                    accepting.spawn(async move { serve(&serving, stream).await });
-                }
-                Err(err) => {
-                    tracing::warn!(%err, "front: accepting failed");
-                    accepting.timers.sleep(DRAIN_LOOK).await;
-                }
-            }
+            let stream = accept::next(&listener, "front", &accepting.timers).await;
+            let serving = accepting.clone();
+            accepting.spawn(async move { serve(&serving, stream).await });
         }
     });
 }
--- a/src/gateway/pages.rs
+++ b/src/gateway/pages.rs
@@ -8,7 +8,7 @@
     error,
     gateway::{core, refusal},
     platform::callers,
-    transport::h1::{conn, head},
+    transport::h1::{accept, conn, head},
 };
 
 /// Most bytes of a request's head here.
@@ -40,9 +40,7 @@
     let accepting = gw.clone();
     gw.spawn(async move {
         loop {
-            let Ok((stream, _)) = listener.accept().await else {
-                continue;
-            };
+            let stream = accept::next(&listener, "pages", &accepting.timers).await;
             let serving = accepting.clone();
             let recorder = recorder.clone();
             accepting.spawn(async move { serve(&serving, stream, &recorder).await });
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -35,14 +35,8 @@
 ///
 /// [`fault::Fault`] when it ends early.
 pub async fn read_plain(answer: &mut exchange::Answer) -> Result<Vec<u8>, fault::Fault> {
-    let mut whole = Vec::new();
-    while let Some(piece) = answer.next().await? {
-        whole.extend_from_slice(&piece);
-        if whole.len() > MAX_PLAIN_BYTES {
-            return Err(fault::Fault::TooLarge("answer body"));
-        }
-    }
-    Ok(whole)
+    let exchange::Answer { body, conn, .. } = answer;
+    body.read_all(conn, MAX_PLAIN_BYTES).await
 }
 
 /// Passes a plain answer on.
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     code::Code,
+    coordination::attempts,
     gateway::{
         admission::{self, Admitted, COME_BACK},
         budget, core, directory, exchange,
@@ -14,13 +15,10 @@
         relay,
     },
     platform::headers,
-    state::server,
+    state::{name, server},
     transport::h1::{conn, fault, head},
 };
 
-/// Extra sends of a request that certainly did not run anywhere yet.
-const EXTRA_SENDS: u32 = 2;
-
 /// How a request ended, for the caller's connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ended {
@@ -175,23 +173,18 @@
 ) -> Result<(), Stop> {
     let service = &req.service.name;
     gw.repeats.borrow_mut().request(service, gw.now());
-    let mut tried = Vec::new();
-    let mut runs = 0;
-    let mut sends = 0;
+    let mut attempts = attempts::Attempts::new(attempts::Allowed {
+        runs: req.route.max_attempts,
+        is_repeatable: req.route.kind.is_repeatable(),
+    });
     loop {
-        if sends > 0
-            && !gw
-                .repeats
-                .borrow_mut()
-                .take(service, gw.allowance(), gw.routers(), gw.now())
-        {
+        if attempts.count() > 0 && !may_repeat(gw, service) {
             return Err(give_up(stream, "the repeats of the service are used up"));
         }
-        let Some(server) = choose(gw, req, &tried) else {
+        let Some(server) = choose(gw, req, &attempts) else {
             return Err(give_up(stream, "no backend server is available"));
         };
-        sends += 1;
-        tried.push(server.id.clone());
+        attempts.sent(&server.id);
         let end = one_attempt(gw, caller, req, &server, stream, close).await;
         let now = gw.now();
         let (cause, not_run) = match end {
@@ -204,15 +197,9 @@
             End::Failed(cause) => (cause, false),
         };
         gw.ejection.borrow_mut().failed(&server.id, now);
-        let id = &req.out.id;
+        let (id, sends) = (&req.out.id, attempts.count());
         tracing::info!(id, server = %server.id, sends, not_run, cause, "request: attempt failed");
-        runs += u32::from(!not_run);
-        let allowed = match not_run {
-            true => sends < req.route.max_attempts + EXTRA_SENDS,
-            false => req.route.kind.is_repeatable() && runs < req.route.max_attempts,
-        };
-        // What cannot be repeated and has run anywhere is over.
-        let allowed = allowed && (req.route.kind.is_repeatable() || !stream.meter.may_have_run());
+        let allowed = attempts.failed(not_run, stream.meter.may_have_run());
         if !allowed || req.left(now).is_zero() {
             if stream.is_begun {
                 return Err(Stop::Broken(cause));
@@ -223,6 +210,12 @@
     }
 }
 
+/// Takes one of the repeats that the service has left.
+fn may_repeat(gw: &core::Gateway, service: &name::Name) -> bool {
+    let mut repeats = gw.repeats.borrow_mut();
+    repeats.take(service, gw.allowance(), gw.routers(), gw.now())
+}
+
 fn give_up(stream: &relay::Stream, cause: &str) -> Stop {
     let refusal = match stream.meter.may_have_run() {
         true => Refusal::new(Code::BackendFailed, cause),
@@ -234,30 +227,16 @@
 fn choose(
     gw: &core::Gateway,
     req: &Admitted,
-    tried: &[crate::state::name::Name],
+    attempts: &attempts::Attempts,
 ) -> Option<Arc<server::Server>> {
     let ready = directory::ready(gw, &req.service.name);
-    let fresh: Vec<_> = ready
-        .iter()
-        .filter(|server| !tried.contains(&server.id))
-        .cloned()
-        .collect();
     let now = gw.now();
-    let sound: Vec<_> = {
-        let ejection = gw.ejection.borrow();
-        let admitted = fresh
-            .iter()
-            .filter(|server| ejection.admits(&server.id, now));
-        admitted.cloned().collect()
-    };
-    let pick = |servers: &[Arc<server::Server>]| {
-        gw.placing
-            .borrow()
-            .choose(servers, req.part, fastrand::u64(..))
-    };
-    pick(&sound)
-        .or_else(|| pick(&fresh))
-        .or_else(|| pick(&ready))
+    let (ejection, placing) = (gw.ejection.borrow(), gw.placing.borrow());
+    attempts.choose(
+        &ready,
+        |id| ejection.admits(id, now),
+        |servers| placing.choose(servers, req.part, fastrand::u64(..)),
+    )
 }
 
 /// How one attempt ended.
--- a/src/transport/h1.rs
+++ b/src/transport/h1.rs
@@ -2,6 +2,7 @@
 //!
 //! `httparse` parses; trillium hides when an answer ends, what follows it, and how a peer left.
 
+pub mod accept;
 pub mod body;
 pub mod conn;
 pub mod dial;
