Tell requests whole or not at all, and count what is left out

One served request in sixteen, by the hash of its id, leaves the lines of its admission, each send and its end, here and at the router that gave it tokens. Refused and failed requests leave theirs up to 200 a second; the rest is counted, and so are lines that a slow reader of the log lost. New metrics: ages of the configuration and of the list of servers, requests in flight, time until tokens are set aside, until the first byte and at the server.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -1,7 +1,7 @@
 //! The gateway: a router that sends callers' requests straight to backend servers.
 //!
 //! The platform's store holds the configuration, the list of backend servers and the ledgers of
-//! budgets. Modules, each using only those after it: [`front`], [`request`], [`admission`], [`relay`],
+//! budgets. Modules, each using only those after it: [`front`], [`request`], [`admission`], [`story`], [`relay`],
 //! [`exchange`], [`budget`], [`ledger`], [`draw`], [`follow`], [`directory`], [`fleet`], [`core`].
 
 use std::rc::Rc;
@@ -23,6 +23,7 @@
 pub mod relay;
 pub mod request;
 mod signals;
+pub mod story;
 
 /// Runs a gateway with the settings file at `path` until it is told to stop.
 ///
@@ -52,6 +53,7 @@
     fleet::start(&gw);
     budget::start(&gw).await?;
     front::start(&gw, listener);
+    story::start(&gw);
     let vm = &settings.vm;
     tracing::info!(%vm, incarnation = gw.incarnation, "gateway: started");
     signals::obey(&gw, path, &signals).await;
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -106,7 +106,8 @@
     Unreachable,
 }
 
-/// Sets tokens aside, drawing some from other routers or the ledger when it must.
+/// Sets tokens aside, drawing some from other routers or the ledger when it must. A `request` that
+/// is told in the log is named to the other router, which then tells its part.
 ///
 /// # Errors
 ///
@@ -115,6 +116,7 @@
     gw: &Rc<core::Gateway>,
     workspace: &name::Name,
     tokens: u64,
+    request: Option<name::Name>,
 ) -> Result<Reservation, Short> {
     if let Some(reservation) = take(gw, workspace, tokens) {
         return Ok(reservation);
@@ -123,7 +125,7 @@
     let (tx, rx) = async_channel::bounded(1);
     let (obtaining, wanted) = (gw.clone(), workspace.clone());
     gw.spawn(async move {
-        let obtained = obtain(&obtaining, &wanted, tokens).await;
+        let obtained = obtain(&obtaining, &wanted, tokens, request).await;
         let _ = tx.try_send(obtained);
     });
     let obtained = gw.timers.within(WAIT, rx.recv()).await;
@@ -178,12 +180,17 @@
 }
 
 /// Gets tokens from the home, or does the home's work when no router before this one answers.
-async fn obtain(gw: &Rc<core::Gateway>, workspace: &name::Name, needed: u64) -> Obtained {
+async fn obtain(
+    gw: &Rc<core::Gateway>,
+    workspace: &name::Name,
+    needed: u64,
+    request: Option<name::Name>,
+) -> Obtained {
     for home in homes(gw, workspace) {
         match home {
             Router::Own => return obtain_as_home(gw, workspace, needed).await,
             Router::Other(peer) if draw::may_ask(gw, peer) => {
-                if let Some(given) = draw_from(gw, peer, workspace, needed).await {
+                if let Some(given) = draw_from(gw, peer, workspace, needed, request.clone()).await {
                     return match given {
                         given if given.tokens > 0 => Obtained::Some,
                         given if given.is_exhausted => Obtained::Exhausted,
@@ -202,6 +209,7 @@
     peer: SocketAddr,
     workspace: &name::Name,
     needed: u64,
+    request: Option<name::Name>,
 ) -> Option<draw::Given> {
     let extra = {
         let mut shares = gw.shares.borrow_mut();
@@ -213,11 +221,13 @@
         workspace: workspace.clone(),
         needed,
         extra,
+        request,
     };
     draw::call(gw, peer, call).await
 }
 
-fn available(gw: &core::Gateway, workspace: &str) -> u64 {
+/// Tokens of a budget that this router has at hand.
+pub fn available(gw: &core::Gateway, workspace: &str) -> u64 {
     let shares = gw.shares.borrow();
     shares.get(workspace).map_or(0, share::Share::available)
 }
@@ -309,6 +319,7 @@
             workspace,
             needed,
             extra,
+            request,
         } => {
             let mut exhausted = false;
             if available(gw, &workspace) < needed {
@@ -316,8 +327,12 @@
                 exhausted = obtained == Obtained::Exhausted;
             }
             let mut shares = gw.shares.borrow_mut();
-            let share = shares.entry(workspace).or_default();
-            (share.give(needed, extra, gw.now()), exhausted)
+            let share = shares.entry(workspace.clone()).or_default();
+            let given = share.give(needed, extra, gw.now());
+            if let Some(id) = request {
+                tracing::info!(%id, %workspace, needed, given, exhausted, "budget: asked for tokens");
+            }
+            (given, exhausted)
         }
         draw::Call::Recall { workspace } => {
             let mut shares = gw.shares.borrow_mut();
@@ -330,13 +345,15 @@
     })
 }
 
-/// Starts to answer other routers and to keep the shares filled.
+/// Starts to answer other routers and to keep the shares filled; returns the address where other
+/// routers find this one.
 ///
 /// # Errors
 ///
 /// The socket's error.
-pub async fn start(gw: &Rc<core::Gateway>) -> Result<(), error::Error> {
+pub async fn start(gw: &Rc<core::Gateway>) -> Result<SocketAddr, error::Error> {
     let listener = async_net::TcpListener::bind(gw.settings().fleet_listen).await?;
+    let address = listener.local_addr()?;
     gw.spawn(draw::serve(gw.clone(), listener, answer));
     let filling = gw.clone();
     gw.spawn(async move {
@@ -345,7 +362,7 @@
             look(&filling).await;
         }
     });
-    Ok(())
+    Ok(address)
 }
 
 /// Fills the reserves of the budgets at home here, and draws for the others.
@@ -369,7 +386,7 @@
             Some(Router::Other(peer)) => {
                 let extra = share.draws(now);
                 if extra > 0 && !is_known_exhausted(gw, name, prepaid, 0) {
-                    draw_from(gw, peer, name, 0).await;
+                    draw_from(gw, peer, name, 0, None).await;
                 }
             }
             _ if share.wanted(prepaid, u64::MAX, 0, now) > 0 => fills.push(ledger::Fill {
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -11,7 +11,7 @@
 };
 
 use crate::{
-    coordination::{draining, ejection, placing, repeats, share, store_route},
+    coordination::{draining, ejection, placing, repeats, share, store_route, telling},
     platform,
     state::{deployment, name, server},
     transport::{h1::pool, timers},
@@ -96,6 +96,12 @@
     pub exhausted: RefCell<HashMap<name::Name, share::Exhausted>>,
     /// Routers that did not answer, and until when they are passed over.
     pub silent_peers: RefCell<HashMap<SocketAddr, Duration>>,
+    /// Bounds the lines on refused and failed requests.
+    pub telling: RefCell<telling::Quota>,
+    /// When the store last told of the configuration.
+    pub config_heard: Cell<Duration>,
+    /// When the store last told of the backend servers.
+    pub servers_heard: Cell<Duration>,
     routers_seen: Cell<(usize, Duration)>,
     /// Tells idle connections that the process is to stop.
     pub leaving: event_listener::Event,
@@ -132,6 +138,9 @@
             account_closed: Cell::new(false),
             exhausted: RefCell::default(),
             silent_peers: RefCell::default(),
+            telling: RefCell::default(),
+            config_heard: Cell::default(),
+            servers_heard: Cell::default(),
             routers_seen: Cell::default(),
             leaving: event_listener::Event::new(),
             executor,
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -46,9 +46,11 @@
         false => Duration::ZERO,
     };
     replace(gw, &read.items, forgiven_until);
+    gw.servers_heard.set(gw.now());
     let mut after = read.store_revision;
     loop {
         let watched = gw.store.watch(servers::PREFIX, after, WATCH).await?;
+        gw.servers_heard.set(gw.now());
         let store::Watched::Changes(changes, revision) = watched else {
             tracing::info!(after, "directory: history lost, reading it anew");
             return Ok(());
--- a/src/gateway/draw.rs
+++ b/src/gateway/draw.rs
@@ -44,6 +44,9 @@
         needed: u64,
         /// Tokens liked beyond it.
         extra: u64,
+        /// Request behind it, when it is told in the log.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        request: Option<name::Name>,
     },
     /// Give all that is available, since the budget's home runs out.
     Recall {
--- a/src/gateway/pages.rs
+++ b/src/gateway/pages.rs
@@ -1,7 +1,8 @@
 //! Readiness for the platform, and metrics for operators.
 
-use std::{net::SocketAddr, rc::Rc};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
+use metrics::gauge;
 use metrics_exporter_prometheus::PrometheusHandle;
 
 use crate::{
@@ -59,6 +60,14 @@
     }
 }
 
+/// Sets the gauges that change by themselves.
+fn note_ages(gw: &core::Gateway) {
+    let age = |heard: Duration| gw.now().saturating_sub(heard).as_secs_f64();
+    gauge!("fulmar_gateway_config_age_seconds").set(age(gw.config_heard.get()));
+    gauge!("fulmar_gateway_servers_age_seconds").set(age(gw.servers_heard.get()));
+    gauge!("fulmar_gateway_in_flight").set(gw.in_flight.get() as f64);
+}
+
 fn answer(gw: &core::Gateway, req: &head::RequestHead, recorder: &PrometheusHandle) -> Vec<u8> {
     let mut headers = head::Headers::default();
     headers.push("Content-Type", b"text/plain");
@@ -67,7 +76,10 @@
             None => (200, "ready\n".to_owned()),
             Some(reason) => (503, format!("not ready: {reason}\n")),
         },
-        METRICS_PATH => (200, recorder.render()),
+        METRICS_PATH => {
+            note_ages(gw);
+            (200, recorder.render())
+        }
         _ => (404, "no such page\n".to_owned()),
     };
     refusal::answer_bytes(status, &headers, Some(body.as_bytes()), false)
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -1,6 +1,6 @@
 //! The way of one request: guards, budget, choice of a server, attempts, answer.
 
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{rc::Rc, sync::Arc};
 
 use futures::future;
 use metrics::{counter, histogram};
@@ -12,7 +12,7 @@
         admission::{self, Admitted, COME_BACK},
         budget, core, directory, exchange,
         refusal::Refusal,
-        relay,
+        relay, story,
     },
     platform::headers,
     state::{name, server},
@@ -36,15 +36,13 @@
     body: Vec<u8>,
 ) -> Ended {
     let received = gw.now();
-    let id = head
-        .headers
-        .text(headers::REQUEST_ID)
-        .unwrap_or_default()
-        .to_owned();
+    let id = head.headers.text(headers::REQUEST_ID).unwrap_or_default();
+    let story = story::Story::new(gw, id.to_owned());
+    let id = &story.id;
     let close = closes(gw, &head);
     let gone = conn::closed(caller.socket());
     let outcome = {
-        let work = std::pin::pin!(answer(gw, caller, head, body, received, close));
+        let work = std::pin::pin!(answer(gw, caller, &story, head, body, close));
         let gone = std::pin::pin!(gone);
         match future::select(work, gone).await {
             future::Either::Left((outcome, _)) => Some(outcome),
@@ -56,11 +54,17 @@
     match outcome {
         None => {
             counter!("fulmar_gateway_requests_total", "outcome" => "caller_gone").increment(1);
-            tracing::info!(id, millis, "request: cancelled, the caller left");
+            if story.tells_failure() {
+                tracing::info!(id, millis, "request: cancelled, the caller left");
+            }
             Ended::Broken
         }
         Some(Ok(())) => {
+            counter!("fulmar_gateway_requests_total", "outcome" => "answered").increment(1);
             histogram!("fulmar_gateway_request_seconds").record(took.as_secs_f64());
+            if story.is_sampled() {
+                tracing::info!(id, millis, "request: answered");
+            }
             match close {
                 true => Ended::Broken,
                 false => Ended::Answered,
@@ -75,15 +79,19 @@
                 message,
                 ..
             } = &refusal;
-            tracing::info!(id, %code, status, millis, message, "request: refused or failed");
-            match caller.write(&refusal.bytes(&id, close)).await {
+            if story.tells_failure() {
+                tracing::info!(id, %code, status, millis, message, "request: refused or failed");
+            }
+            match caller.write(&refusal.bytes(id, close)).await {
                 Ok(()) if !close => Ended::Answered,
                 _ => Ended::Broken,
             }
         }
         Some(Err(Stop::Broken(cause))) => {
             counter!("fulmar_gateway_requests_total", "outcome" => "broken").increment(1);
-            tracing::info!(id, millis, cause, "request: broken off");
+            if story.tells_failure() {
+                tracing::info!(id, millis, cause, "request: broken off");
+            }
             Ended::Broken
         }
     }
@@ -111,19 +119,25 @@
 async fn answer(
     gw: &Rc<core::Gateway>,
     caller: &mut conn::Conn,
+    story: &story::Story,
     head: head::RequestHead,
     body: Vec<u8>,
-    received: Duration,
     close: bool,
 ) -> Result<(), Stop> {
+    let received = gw.now();
     let req = admission::admit(gw, head, body, received)?;
-    let reservation = set_aside(gw, &req).await?;
+    if story.is_sampled() {
+        tell_admitted(gw, story, &req);
+    }
+    let reservation = set_aside(gw, &req, story).await?;
+    let waited = gw.now().saturating_sub(received);
+    histogram!("fulmar_gateway_budget_seconds").record(waited.as_secs_f64());
     let limit = req.end().saturating_sub(gw.now());
     let engine = req.service.engine.as_ref();
     let per_event = engine.map_or(1, |engine| engine.tokens_per_event);
     let meter = budget::Meter::new(reservation, req.need.input, per_event);
     let mut stream = relay::Stream::new(meter);
-    let work = attempts(gw, caller, &req, &mut stream, close);
+    let work = attempts(gw, caller, &req, story, &mut stream, close);
     if let Some(done) = gw.timers.within(limit, work).await {
         return done;
     }
@@ -139,9 +153,25 @@
     }
 }
 
+/// Tells what an admitted request was judged by.
+fn tell_admitted(gw: &core::Gateway, story: &story::Story, req: &Admitted) {
+    let workspace = req.out.workspace.as_ref();
+    tracing::info!(
+        id = story.id,
+        route = %req.route.name,
+        workspace = workspace.map_or("", |workspace| &workspace.name),
+        tokens = req.need.at_most(),
+        left = workspace.map_or(0, |workspace| budget::available(gw, &workspace.name)),
+        config = gw.deployment().map_or(0, |deployment| deployment.version),
+        config_age_ms = gw.now().saturating_sub(gw.config_heard.get()).as_millis() as u64,
+        "request: admitted"
+    );
+}
+
 async fn set_aside(
     gw: &Rc<core::Gateway>,
     req: &Admitted,
+    story: &story::Story,
 ) -> Result<Option<budget::Reservation>, Refusal> {
     let Some(workspace) = &req.out.workspace else {
         return Ok(None);
@@ -150,14 +180,17 @@
         return Ok(None);
     }
     let tokens = req.need.at_most();
-    let reserved = budget::reserve(gw, &workspace.name, tokens).await;
+    let id = story.is_sampled().then(|| name::Name::from(&*story.id));
+    let reserved = budget::reserve(gw, &workspace.name, tokens, id).await;
     reserved.map(Some).map_err(|short| match short {
         budget::Short::Exhausted => {
-            let message = format!("{tokens} tokens are not left in the budget");
+            let name = &workspace.name;
+            let message = format!("{tokens} tokens are not left in the budget of {name}");
             Refusal::new(Code::BudgetSpent, message)
         }
         budget::Short::Unreachable => {
-            let message = format!("{tokens} tokens could not be reached in time");
+            let name = &workspace.name;
+            let message = format!("{tokens} tokens of {name} could not be reached in time");
             Refusal::new(Code::BudgetUnreachable, message).retry_after(COME_BACK)
         }
     })
@@ -168,6 +201,7 @@
     gw: &Rc<core::Gateway>,
     caller: &mut conn::Conn,
     req: &Admitted,
+    story: &story::Story,
     stream: &mut relay::Stream,
     close: bool,
 ) -> Result<(), Stop> {
@@ -185,10 +219,18 @@
             return Err(give_up(stream, "no backend server is available"));
         };
         attempts.sent(&server.id);
+        if story.is_sampled() {
+            let running = gw.placing.borrow().running(&server.id);
+            let (id, left) = (&story.id, req.left(gw.now()).as_millis() as u64);
+            tracing::info!(id, server = %server.id, running, left, "request: sent");
+        }
+        let began = gw.now();
         let end = one_attempt(gw, caller, req, &server, stream, close).await;
         let now = gw.now();
         let (cause, not_run) = match end {
             End::Done => {
+                let took = gw.now().saturating_sub(began);
+                histogram!("fulmar_gateway_server_seconds").record(took.as_secs_f64());
                 gw.ejection.borrow_mut().succeeded(&server.id);
                 return Ok(());
             }
@@ -197,8 +239,10 @@
             End::Failed(cause) => (cause, false),
         };
         gw.ejection.borrow_mut().failed(&server.id, now);
-        let (id, sends) = (&req.out.id, attempts.count());
-        tracing::info!(id, server = %server.id, sends, not_run, cause, "request: attempt failed");
+        if story.tells_failure() {
+            let (id, sends, server) = (&story.id, attempts.count(), &server.id);
+            tracing::info!(id, %server, sends, not_run, cause, "request: attempt failed");
+        }
         let allowed = attempts.failed(not_run, stream.meter.may_have_run());
         if !allowed || req.left(now).is_zero() {
             if stream.is_begun {
@@ -255,7 +299,8 @@
     stream: &mut relay::Stream,
     close: bool,
 ) -> End {
-    let left = req.left(gw.now());
+    let began = gw.now();
+    let left = req.left(began);
     let last_event = stream.last_id.clone();
     stream.meter.sending();
     let sent = exchange::attempt(gw, &req.out, server, left, last_event.as_deref()).await;
@@ -269,6 +314,8 @@
         Err(exchange::Failure::NotRun(cause)) => return End::NotRun(cause),
         Err(exchange::Failure::MayHaveRun(cause)) => return End::Failed(cause),
     };
+    let waited = gw.now().saturating_sub(began);
+    histogram!("fulmar_gateway_first_byte_seconds").record(waited.as_secs_f64());
     let status = answer.head.status;
     if not_run {
         let drained = relay::read_plain(&mut answer).await;
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -1,5 +1,8 @@
 //! Set-up of the log.
 
+use std::sync::OnceLock;
+
+use tracing_appender::non_blocking;
 use tracing_subscriber::EnvFilter;
 
 /// Writes the log to standard error, as text or as one JSON object a line.
@@ -29,13 +32,32 @@
 /// Lines that wait for the writer; at about 200 bytes a line they take under a megabyte.
 const WAITING_LINES: usize = 4096;
 
-/// Writes the log to standard output from a thread of its own, behind a bounded queue: a reader
-/// that has stopped loses lines but delays nobody. Keep the guard for as long as there are lines.
-pub fn start_bounded(filter: &str) -> tracing_appender::non_blocking::WorkerGuard {
-    let (writer, guard) = tracing_appender::non_blocking::NonBlockingBuilder::default()
+/// Counts the lines that found the queue full.
+static DROPPED: OnceLock<non_blocking::ErrorCounter> = OnceLock::new();
+
+/// Lines that found the queue full since the process began.
+pub fn dropped_lines() -> u64 {
+    DROPPED
+        .get()
+        .map_or(0, |count| count.dropped_lines() as u64)
+}
+
+/// A writer behind a bounded queue, with a thread of its own: where nobody reads any more, lines
+/// are dropped and counted, and nobody waits. Keep the guard for as long as there are lines.
+pub fn bounded<W: std::io::Write + Send + 'static>(
+    to: W,
+) -> (non_blocking::NonBlocking, non_blocking::WorkerGuard) {
+    let (writer, guard) = non_blocking::NonBlockingBuilder::default()
         .buffered_lines_limit(WAITING_LINES)
         .lossy(true)
-        .finish(std::io::stdout());
+        .finish(to);
+    DROPPED.get_or_init(|| writer.error_counter());
+    (writer, guard)
+}
+
+/// Writes the log to standard output through [`bounded`].
+pub fn start_bounded(filter: &str) -> non_blocking::WorkerGuard {
+    let (writer, guard) = bounded(std::io::stdout());
     let started = tracing_subscriber::fmt()
         .with_env_filter(EnvFilter::new(format!("warn,fulmarproxy={filter}")))
         .with_writer(writer)
--- a/tests/gateway_world/mod.rs
+++ b/tests/gateway_world/mod.rs
@@ -1,5 +1,8 @@
 //! One gateway with a store and backend servers in this process.
 
+// Each test file uses its own part of this.
+#![allow(dead_code)]
+
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use fulmarproxy::{
@@ -25,6 +28,8 @@
     pub store: Rc<placed_store::PlacedStore>,
     pub gw: Rc<core::Gateway>,
     pub front: SocketAddr,
+    fleet: SocketAddr,
+    address: SocketAddr,
     timers: timers::Timers,
     listed: RefCell<u32>,
 }
@@ -83,6 +88,34 @@
     assert!(done.is_some(), "the test did not end");
 }
 
+/// Starts a gateway; returns where callers and other routers find it.
+async fn gateway(
+    vm: &str,
+    store: SocketAddr,
+    executor: Rc<smol::LocalExecutor<'static>>,
+) -> (Rc<core::Gateway>, SocketAddr, SocketAddr) {
+    let settings = settings::Settings {
+        vm: vm.into(),
+        listen: any_port(),
+        ready_listen: any_port(),
+        fleet_listen: any_port(),
+        admin_listen: any_port(),
+        store,
+        grace: Duration::from_secs(8),
+        repeats_per_request: 0.2,
+        repeat_window: Duration::from_secs(10),
+        repeat_slack: 50.0,
+    };
+    let gw = core::Gateway::new(settings, executor);
+    let listener = front::bind(any_port()).await.unwrap();
+    let front = listener.local_addr().unwrap();
+    follow::start(&gw);
+    directory::start(&gw);
+    let fleet = budget::start(&gw).await.unwrap();
+    front::start(&gw, listener);
+    (gw, front, fleet)
+}
+
 impl World {
     async fn new(executor: Rc<smol::LocalExecutor<'static>>, configuration: &Value) -> Self {
         let store = Rc::new(placed_store::PlacedStore::default());
@@ -90,30 +123,14 @@
         let (listener, address) = placed_store::listener().await.unwrap();
         let serving = store.clone().serve(listener, executor.clone());
         executor.spawn(serving).detach();
-        let settings = settings::Settings {
-            vm: "entry-1".into(),
-            listen: any_port(),
-            ready_listen: any_port(),
-            fleet_listen: any_port(),
-            admin_listen: any_port(),
-            store: address,
-            grace: Duration::from_secs(8),
-            repeats_per_request: 0.2,
-            repeat_window: Duration::from_secs(10),
-            repeat_slack: 50.0,
-        };
-        let gw = core::Gateway::new(settings, executor.clone());
-        let listener = front::bind(any_port()).await.unwrap();
-        let front = listener.local_addr().unwrap();
-        follow::start(&gw);
-        directory::start(&gw);
-        budget::start(&gw).await.unwrap();
-        front::start(&gw, listener);
+        let (gw, front, fleet) = gateway("entry-1", address, executor.clone()).await;
         let world = Self {
             executor,
             store,
             gw,
             front,
+            fleet,
+            address,
             timers: timers::Timers::default(),
             listed: RefCell::new(0),
         };
@@ -121,6 +138,16 @@
         world
     }
 
+    /// Starts another gateway before the same store; the two know each other. Returns where its
+    /// callers find it.
+    pub async fn another(&self) -> SocketAddr {
+        let (gw, front, fleet) = gateway("entry-2", self.address, self.executor.clone()).await;
+        gw.note_peers([(self.gw.holder(), self.fleet)].into());
+        self.gw.note_peers([(gw.holder(), fleet)].into());
+        self.until(|_| gw.unready().is_none()).await;
+        front
+    }
+
     /// Waits until something holds.
     pub async fn until(&self, holds: impl Fn(&Self) -> bool) {
         while !holds(self) {
