Show a fleet on the platform with fulmarctl

platform members, servers and budgets read the platform's store and ask each gateway for the version in force, its age and the tokens it holds. Refusals for an unknown route or key name the version that decided, the route's path and whether a key was given: two of ten failed requests picked by hash could not be explained from their lines alone.

--- a/src/ctl.rs
+++ b/src/ctl.rs
@@ -15,9 +15,11 @@
 
 mod command;
 mod cut;
+mod platform_view;
 mod publication;
 mod reach;
 pub use command::{Action, Command, parse};
+pub use platform_view::View;
 pub use publication::{collect, publish_set, read_published};
 
 /// The tool did what it was asked.
@@ -111,6 +113,13 @@
             }
         }
         Action::Order { store } => show_orders(store, json, out).await?,
+        Action::Platform { view, store } => {
+            let rows = platform_view::read(*view, *store).await?;
+            match json {
+                true => print(out, &rows)?,
+                false => rows.iter().try_for_each(|row| writeln!(out, "{row}"))?,
+            }
+        }
     }
     Ok(EXIT_OK)
 }
--- a/src/ctl/command.rs
+++ b/src/ctl/command.rs
@@ -1,8 +1,12 @@
 //! Command line of the operators' tool.
 
-use std::path::PathBuf;
+use std::{net::SocketAddr, path::PathBuf};
 
-use crate::{ctl::reach, error, transport::store};
+use crate::{
+    ctl::{platform_view, reach},
+    error,
+    transport::store,
+};
 
 /// A command and the form of its output.
 #[derive(Clone)]
@@ -85,6 +89,13 @@
         /// The key-value service.
         store: store::Store,
     },
+    /// Show a fleet of gateways on the users' platform.
+    Platform {
+        /// What to show.
+        view: platform_view::View,
+        /// Address of the platform's store.
+        store: SocketAddr,
+    },
 }
 
 const USAGE: &str = "Usage: fulmarctl COMMAND [FLAGS]
@@ -100,9 +111,16 @@
   budget top-up NAME TOTAL   Publish another absolute total of a budget.
   drain VM                   Give a backend server no new work.
   order                      Show who coordinates the orders of each pool.
+  platform members           Show the gateways on the platform and the version
+                             that each has in force, one JSON object a line.
+  platform servers           Show the backend servers that the platform lists.
+  platform budgets           Show budgets and who holds which share.
 
 Flags:
   --store URL            Address of the key-value service (FULMAR_STORE).
+  --platform-store IP:PORT
+                         Address of the platform's store
+                         (FULMAR_PLATFORM_STORE).
   --vms URL              Address of the list of VMs (FULMAR_VMS).
   --fleet-key-file PATH  Key that all members share (FULMAR_FLEET_KEY_FILE).
   --expect N             Publish only if version N is published now.
@@ -115,6 +133,7 @@
 fn options() -> getopts::Options {
     let mut options = getopts::Options::new();
     options.optopt("", "store", "", "URL");
+    options.optopt("", "platform-store", "", "IP:PORT");
     options.optopt("", "vms", "", "URL");
     options.optopt("", "fleet-key-file", "", "PATH");
     options.optopt("", "expect", "", "N");
@@ -203,6 +222,9 @@
             ["order"] => Action::Order {
                 store: self.store()?,
             },
+            ["platform", "members"] => self.platform(platform_view::View::Members)?,
+            ["platform", "servers"] => self.platform(platform_view::View::Servers)?,
+            ["platform", "budgets"] => self.platform(platform_view::View::Budgets)?,
             other => {
                 let command = other.join(" ");
                 return Err(wrong(format!("unknown command {command:?}, see --help")));
@@ -210,6 +232,16 @@
         })
     }
 
+    fn platform(&self, view: platform_view::View) -> Result<Action, error::Error> {
+        let given = self.need("platform-store", "FULMAR_PLATFORM_STORE")?;
+        let store = given.parse().map_err(|_| {
+            wrong(format!(
+                "--platform-store has the value {given:?}, allowed is an IP:PORT"
+            ))
+        })?;
+        Ok(Action::Platform { view, store })
+    }
+
     fn expect(&self) -> Result<Option<u64>, error::Error> {
         let given = self.matches.opt_str("expect");
         given.map(|value| number("--expect", &value)).transpose()
--- /dev/null
+++ b/src/ctl/platform_view.rs
@@ -0,0 +1,139 @@
+//! What the platform's store and the gateways themselves tell of a fleet.
+
+use std::{net::SocketAddr, time::Duration};
+
+use serde_json::{Value, json};
+
+use crate::{
+    coordination::share,
+    error,
+    gateway::{draw, fleet, ledger},
+    platform::{configuration, servers, store},
+    state::share_ledger,
+    transport::{h1::dial, timers},
+};
+
+/// Longest wait for one gateway.
+const MEMBER_LIMIT: Duration = Duration::from_secs(2);
+
+/// What to show.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum View {
+    /// Gateways, with the version of the configuration that each has in force.
+    Members,
+    /// Backend servers.
+    Servers,
+    /// Budgets, with who holds which share.
+    Budgets,
+}
+
+/// Reads one view, as rows with the same fields.
+///
+/// # Errors
+///
+/// [`error::Error::Store`] when the store does not answer.
+pub async fn read(view: View, address: SocketAddr) -> Result<Vec<Value>, error::Error> {
+    let timers = timers::Timers::default();
+    let way = store::Way {
+        next: Box::new(move || address),
+        ended: Box::new(|_, _| ()),
+    };
+    let store = store::Store::new(way, timers.clone());
+    match view {
+        View::Members => members(&store, &timers).await,
+        View::Servers => backend_servers(&store).await,
+        View::Budgets => budgets(&store).await,
+    }
+}
+
+async fn range(store: &store::Store, prefix: &str) -> Result<Vec<store::Item>, error::Error> {
+    let read = store.range(prefix, true).await;
+    let read = read.map_err(|err| error::Error::Store {
+        call: "range",
+        message: err.to_string(),
+    })?;
+    Ok(read.items)
+}
+
+async fn members(
+    store: &store::Store,
+    timers: &timers::Timers,
+) -> Result<Vec<Value>, error::Error> {
+    let mut rows = Vec::new();
+    for item in range(store, fleet::PREFIX).await? {
+        let Some((holder, address)) = fleet::decode(&item) else {
+            rows.push(json!({"member": item.key, "problem": "the entry is not readable"}));
+            continue;
+        };
+        let asked = timers.within(MEMBER_LIMIT, status(address, timers)).await;
+        rows.push(
+            match asked.unwrap_or_else(|| Err("no answer in time".to_owned())) {
+                Ok(status) => json!({"member": holder, "address": address, "status": status}),
+                Err(problem) => json!({"member": holder, "address": address, "problem": problem}),
+            },
+        );
+    }
+    Ok(rows)
+}
+
+async fn status(address: SocketAddr, timers: &timers::Timers) -> Result<Value, String> {
+    let conn = dial::connect(address, MEMBER_LIMIT, timers).await;
+    let mut conn = conn.map_err(|err| err.to_string())?;
+    let answer = draw::post(&mut conn, address, &draw::Call::Status).await;
+    let answer = answer.map_err(|err| err.to_string())?;
+    serde_json::from_slice(&answer).map_err(|err| err.to_string())
+}
+
+async fn backend_servers(store: &store::Store) -> Result<Vec<Value>, error::Error> {
+    let items = range(store, servers::PREFIX).await?;
+    let row = |item: &store::Item| match servers::decode(&item.key, &item.value) {
+        Some(server) => json!({
+            "server": &*server.id, "service": &*server.service, "address": server.address,
+            "zone": &*server.zone, "slots": server.slots, "takes_work": server.takes_work,
+        }),
+        None => json!({"server": item.key, "problem": "the entry is not readable"}),
+    };
+    Ok(items.iter().map(row).collect())
+}
+
+async fn budgets(store: &store::Store) -> Result<Vec<Value>, error::Error> {
+    let configuration = range(store, configuration::PREFIX).await?;
+    let configuration = configuration
+        .iter()
+        .find(|item| item.key == configuration::KEY);
+    let deployment = match configuration {
+        Some(item) => configuration::decode(&item.value)?,
+        None => return Ok(Vec::new()),
+    };
+    let ledgers = range(store, ledger::PREFIX).await?;
+    let mut workspaces: Vec<_> = deployment.workspaces.values().collect();
+    workspaces.sort_by_key(|workspace| workspace.name.clone());
+    let mut rows = Vec::new();
+    for workspace in workspaces {
+        let Some(prepaid) = workspace.prepaid_tokens else {
+            continue;
+        };
+        let key = format!("{}{}", ledger::PREFIX, workspace.name);
+        let item = ledgers.iter().find(|item| item.key == key);
+        let ledger = item.map_or_else(
+            || Ok(share_ledger::ShareLedger::default()),
+            |item| serde_json::from_slice(&item.value),
+        );
+        rows.push(match ledger {
+            Ok(ledger) => budget(&workspace.name, prepaid, &ledger),
+            Err(err) => json!({"budget": &*workspace.name, "problem": err.to_string()}),
+        });
+    }
+    Ok(rows)
+}
+
+fn budget(workspace: &str, prepaid: u64, ledger: &share_ledger::ShareLedger) -> Value {
+    let granted = ledger.granted();
+    json!({
+        "budget": workspace,
+        "prepaid": prepaid,
+        "free": share::grantable(prepaid).saturating_sub(granted),
+        "spent_by_closed": ledger.closed,
+        "holders": ledger.holders,
+    })
+}
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -81,7 +81,11 @@
     let route = deployment
         .route(&host, path)
         .or_else(|| deployment.route(name, path));
-    let route = route.ok_or_else(|| Refusal::new(Code::UnknownRoute, "no route of that path"))?;
+    let route = route.ok_or_else(|| {
+        let version = deployment.version;
+        let message = format!("configuration {version} has no route for {host}{path}");
+        Refusal::new(Code::UnknownRoute, message)
+    })?;
     if gw
         .draining
         .get()
@@ -94,7 +98,14 @@
     if !deployment.workspaces.is_empty() && !route.is_public {
         let key = headers::api_key(&head.headers);
         let found = key.and_then(|key| deployment.keys.get(key));
-        let found = found.ok_or_else(|| Refusal::new(Code::BadKey, "the key is unknown"))?;
+        let found = found.ok_or_else(|| {
+            let version = deployment.version;
+            let message = match key {
+                Some(_) => format!("configuration {version} does not know the key"),
+                None => "no key was given".to_owned(),
+            };
+            Refusal::new(Code::BadKey, message)
+        })?;
         workspace = Some(found.clone());
     }
     let service = pick_service(&deployment, route).ok_or_else(|| {
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -334,6 +334,7 @@
             }
             (given, exhausted)
         }
+        draw::Call::Status => return None,
         draw::Call::Recall { workspace } => {
             let mut shares = gw.shares.borrow_mut();
             (shares.entry(workspace).or_default().give_all(), false)
--- a/src/gateway/draw.rs
+++ b/src/gateway/draw.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    coordination::share,
     gateway::core,
     state::name,
     transport::h1::{accept, body, conn, dial, fault, head},
@@ -53,12 +54,15 @@
         /// Workspace.
         workspace: name::Name,
     },
+    /// Tell how the router does; the answer is a JSON object for operators.
+    Status,
 }
 
 impl Call {
-    fn workspace(&self) -> &name::Name {
+    fn workspace(&self) -> Option<&name::Name> {
         match self {
-            Self::Draw { workspace, .. } | Self::Recall { workspace } => workspace,
+            Self::Draw { workspace, .. } | Self::Recall { workspace } => Some(workspace),
+            Self::Status => None,
         }
     }
 }
@@ -103,7 +107,9 @@
     let cause = match answered {
         Some(Ok(given)) => {
             gw.silent_peers.borrow_mut().remove(&peer);
-            receive(gw, call.workspace(), given.tokens);
+            if let Some(workspace) = call.workspace() {
+                receive(gw, workspace, given.tokens);
+            }
             return Some(given);
         }
         Some(Err(err)) => err.to_string(),
@@ -136,6 +142,23 @@
         Some(conn) => conn,
         None => dial::connect(peer, CONNECT_LIMIT, &gw.timers).await?,
     };
+    let whole = post(&mut conn, peer, call).await?;
+    let given = serde_json::from_slice(&whole);
+    let given = given.map_err(|_| fault::Fault::Malformed("answer of a router"))?;
+    gw.pool.borrow_mut().put(peer, conn, gw.now() + IDLE);
+    Ok(given)
+}
+
+/// Sends a call to a router and reads its answer whole.
+///
+/// # Errors
+///
+/// [`fault::Fault`] of the connection or of an answer that is none.
+pub async fn post(
+    conn: &mut conn::Conn,
+    peer: SocketAddr,
+    call: &Call,
+) -> Result<Vec<u8>, fault::Fault> {
     let body = serde_json::to_vec(call).map_err(std::io::Error::from)?;
     let mut bytes = format!(
         "POST /tokens HTTP/1.1\r\nHost: {peer}\r\nContent-Length: {}\r\n\r\n",
@@ -144,15 +167,24 @@
     .into_bytes();
     bytes.extend_from_slice(&body);
     conn.write(&bytes).await?;
-    let head = head::read_answer(&mut conn).await?;
+    let head = head::read_answer(conn).await?;
     let framing = body::of_answer(&head, "POST")?;
-    let whole = body::Body::new(framing)
-        .read_all(&mut conn, MAX_BYTES)
-        .await?;
-    let given = serde_json::from_slice(&whole);
-    let given = given.map_err(|_| fault::Fault::Malformed("answer of a router"))?;
-    gw.pool.borrow_mut().put(peer, conn, gw.now() + IDLE);
-    Ok(given)
+    body::Body::new(framing).read_all(conn, MAX_BYTES).await
+}
+
+/// How this router does, for operators.
+fn status(gw: &core::Gateway) -> serde_json::Value {
+    let age = |heard: Duration| gw.now().saturating_sub(heard).as_millis() as u64;
+    let held = |share: &share::Share| share.available();
+    serde_json::json!({
+        "configuration": gw.deployment().map(|deployment| deployment.version),
+        "configuration_age_ms": age(gw.config_heard.get()),
+        "servers": gw.known.borrow().servers.len(),
+        "servers_age_ms": age(gw.servers_heard.get()),
+        "in_flight": gw.in_flight.get(),
+        "not_ready": gw.unready(),
+        "tokens_held": gw.shares.borrow().values().map(held).sum::<u64>(),
+    })
 }
 
 /// Serves the calls of other routers with `answer`; without one the connection ends.
@@ -167,18 +199,14 @@
         gw.spawn(async move {
             let mut conn = conn::Conn::new(stream);
             while let Ok(Some(call)) = next(&mut conn).await {
-                let Some(given) = answer(&serving, call).await else {
+                let Some((body, tokens)) = reply(&serving, call, &answer).await else {
                     return;
                 };
-                let body = serde_json::to_string(&given).unwrap_or_default();
                 let len = body.len();
                 let bytes = format!("HTTP/1.1 200 OK\r\nContent-Length: {len}\r\n\r\n{body}");
                 if conn.write(bytes.as_bytes()).await.is_err() {
                     // The tokens are out of the share all the same; it is safe to lose them.
-                    tracing::info!(
-                        tokens = given.tokens,
-                        "budget: given tokens were not received"
-                    );
+                    tracing::info!(tokens, "budget: given tokens were not received");
                     return;
                 }
             }
@@ -186,6 +214,19 @@
     }
 }
 
+/// Body of the answer to a call, and the tokens that it gives.
+async fn reply<F>(gw: &Rc<core::Gateway>, call: Call, answer: &F) -> Option<(String, u64)>
+where
+    F: AsyncFn(&Rc<core::Gateway>, Call) -> Option<Given>,
+{
+    if matches!(call, Call::Status) {
+        return Some((status(gw).to_string(), 0));
+    }
+    let given = answer(gw, call).await?;
+    let body = serde_json::to_string(&given).ok()?;
+    Some((body, given.tokens))
+}
+
 async fn next(conn: &mut conn::Conn) -> Result<Option<Call>, fault::Fault> {
     let Some(head) = head::read_request(conn, MAX_BYTES).await? else {
         return Ok(None);
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -67,7 +67,8 @@
     Ok(matches!(written, store::Written::Done(_)).then_some(lease.id))
 }
 
-fn decode(item: &store::Item) -> Option<(String, SocketAddr)> {
+/// Name of a router and where others find it; `None` when the entry is not readable.
+pub fn decode(item: &store::Item) -> Option<(String, SocketAddr)> {
     let holder = item.key.strip_prefix(PREFIX)?;
     let address = std::str::from_utf8(&item.value).ok()?.parse().ok()?;
     Some((holder.to_owned(), address))
--- a/tests/gateway_world/mod.rs
+++ b/tests/gateway_world/mod.rs
@@ -28,8 +28,8 @@
     pub store: Rc<placed_store::PlacedStore>,
     pub gw: Rc<core::Gateway>,
     pub front: SocketAddr,
-    fleet: SocketAddr,
-    address: SocketAddr,
+    pub fleet: SocketAddr,
+    pub address: SocketAddr,
     timers: timers::Timers,
     listed: RefCell<u32>,
 }
