Look up writes of ledgers that are not answered

Cause: while the store loses answers, a write that it did was waited for until the limit of the call, 800 ms, and all requests of that budget behind it, so that they were refused for tokens that had been granted. After 150 ms without an answer the key is read; a value that only this write can have put there tells that it was done.

--- a/src/gateway/ledger.rs
+++ b/src/gateway/ledger.rs
@@ -2,6 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
+use futures::future;
 use metrics::{counter, gauge};
 
 use crate::{
@@ -24,6 +25,10 @@
 /// Pause between two of these tries.
 const CLOSING_PAUSE: Duration = Duration::from_millis(100);
 
+/// Time without an answer after which the store is asked whether a write was done: it loses answers
+/// of writes that it did. A round trip takes a few milliseconds.
+const ASK_AFTER: Duration = Duration::from_millis(150);
+
 /// Tries of one write against other routers' writes.
 const TRIES: usize = 6;
 
@@ -87,7 +92,12 @@
 /// Writes ledgers; false when another router's write came first. What the ledgers are is
 /// remembered either way.
 async fn commit(gw: &core::Gateway, write: &store::Write) -> Result<bool, store::StoreError> {
-    let written = gw.store.write(write).await;
+    let writing = std::pin::pin!(gw.store.write(write));
+    let asking = std::pin::pin!(found_done(gw, write));
+    let written = match future::select(writing, asking).await {
+        future::Either::Left((written, _)) => written,
+        future::Either::Right((revision, _)) => Ok(store::Written::Done(revision)),
+    };
     match written {
         Ok(store::Written::Done(revision)) => {
             for (key, value) in &write.puts {
@@ -114,6 +124,36 @@
     }
 }
 
+/// Asks again and again whether a write without an answer was done; returns the revision it got.
+///
+/// A write is done whole or not at all, so that one key whose value it changes tells for all.
+async fn found_done(gw: &core::Gateway, write: &store::Write) -> u64 {
+    let Some((key, value)) = write.puts.iter().find(|put| changes(gw, put)) else {
+        return future::pending().await;
+    };
+    loop {
+        gw.timers.sleep(ASK_AFTER).await;
+        match gw.store.get(key).await {
+            Ok(item) if item.value == *value => {
+                counter!("fulmar_gateway_ledger_answers_lost_total").increment(1);
+                tracing::info!(key, "budget: a write without an answer was done");
+                return item.revision;
+            }
+            Ok(_) => (),
+            Err(err) => tracing::info!(key, %err, "budget: a write without an answer is open"),
+        }
+    }
+}
+
+/// Whether a put differs from what was last seen of its ledger.
+fn changes(gw: &core::Gateway, (key, value): &(String, Vec<u8>)) -> bool {
+    let workspace = key.strip_prefix(PREFIX).unwrap_or_default();
+    let ledgers = gw.ledgers.borrow();
+    ledgers
+        .get(workspace)
+        .is_none_or(|item| item.value != *value)
+}
+
 fn remember(gw: &core::Gateway, item: store::Item) {
     if let Some(workspace) = item.key.strip_prefix(PREFIX) {
         let workspace = name::Name::from(workspace);
--- a/src/standin/placed_store.rs
+++ b/src/standin/placed_store.rs
@@ -41,6 +41,8 @@
     pub refuses: Cell<bool>,
     /// So many of the next writes are done but not answered.
     pub lost_answers: Cell<u32>,
+    /// So many of the next writes are done and never answered, on connections that stay open.
+    pub silent_answers: Cell<u32>,
     /// Watches hear nothing.
     pub is_mute: Cell<bool>,
 }
@@ -194,6 +196,11 @@
             self.faults.lost_answers.set(lost - 1);
             return Ok(false);
         }
+        let silent = self.faults.silent_answers.get();
+        if path == "/kv-txn" && silent > 0 {
+            self.faults.silent_answers.set(silent - 1);
+            std::future::pending::<()>().await;
+        }
         answer(conn, status, &value).await
     }
 
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -252,6 +252,41 @@
     });
 }
 
+/// The store did each write and answered none of some: requests waited for the limit of a call, one
+/// after the other, and were refused although their tokens had been granted.
+#[test]
+fn a_write_that_is_never_answered_is_found_done() {
+    play(&configuration(1, 100_000, TIMEOUT_MS), async |world| {
+        let answer = |arrived: &_| placed_server::events(arrived, 0..10, NO_PAUSE);
+        world.server("model", answer).await;
+        for _ in 0..3 {
+            // More than the reserve, so that the ledger is written.
+            world.store.faults.silent_answers.set(1);
+            let usage = "X-Token-Usage: 15000,60\r\n";
+            let got = world.ask("POST", "/draft/1", usage, "prompt").await;
+            assert_eq!(got.status, 200);
+        }
+    });
+}
+
+/// Nothing changes in the ledger when nothing is granted: its value must not pass for a write done.
+#[test]
+fn a_write_that_changes_nothing_is_never_found_done() {
+    play(&configuration(1, 1000, TIMEOUT_MS), async |world| {
+        let answer = |arrived: &_| placed_server::events(arrived, 0..10, NO_PAUSE);
+        world.server("model", answer).await;
+        let mut served = 0;
+        for _ in 0..12 {
+            world.store.faults.silent_answers.set(1);
+            served += u32::from(world.ask("POST", "/draft/1", USAGE, "prompt").await.status == 200);
+        }
+        world.store.faults.silent_answers.set(0);
+        assert!(served <= 6, "{served} requests of 160 tokens out of 1,000");
+        let spent = world.spent();
+        assert!(spent <= 1000, "{spent}");
+    });
+}
+
 #[test]
 fn a_watch_that_was_cut_in_a_compaction_reads_anew() {
     play(&configuration(1, PLENTY, TIMEOUT_MS), async |world| {
