--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -1,8 +1,9 @@
 //! The gateway: a router that sends callers' requests straight to backend servers.
 //!
 //! The platform's store holds the configuration, the list of backend servers and the ledgers of
-//! budgets. Modules, each using only those after it: [`front`], [`request`], [`admission`], [`story`], [`relay`],
-//! [`exchange`], [`budget`], [`ledger`], [`draw`], [`follow`], [`directory`], [`fleet`], [`core`].
+//! budgets. Modules, each using only those after it: [`front`], [`request`], [`admission`],
+//! [`story`], [`relay`], [`exchange`], [`meter`], [`budget`], [`ledger`], [`draw`], [`follow`],
+//! [`directory`], [`fleet`], [`core`].
 
 use std::rc::Rc;
 
@@ -18,6 +19,7 @@
 pub mod follow;
 pub mod front;
 pub mod ledger;
+pub mod meter;
 pub mod pages;
 pub mod refusal;
 pub mod relay;
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -32,6 +32,13 @@
     spent: u64,
 }
 
+impl Reservation {
+    /// Sets what was spent of it so far, at most what was set aside.
+    pub fn spend(&mut self, tokens: u64) {
+        self.spent = self.reserved.min(tokens);
+    }
+}
+
 impl Drop for Reservation {
     fn drop(&mut self) {
         let mut shares = self.gw.shares.borrow_mut();
@@ -40,63 +47,6 @@
     }
 }
 
-/// Counts what one request spends, as it happens, so that a request that is cancelled counts too.
-pub struct Meter {
-    reservation: Option<Reservation>,
-    input: u64,
-    per_event: u64,
-    is_sent: bool,
-    may_have_run: bool,
-    output: u64,
-}
-
-impl Meter {
-    /// Begins to count a request whose prompt has `input` tokens and whose events hold
-    /// `per_event` tokens each; without a reservation nothing is paid for.
-    pub fn new(reservation: Option<Reservation>, input: u64, per_event: u64) -> Self {
-        Self {
-            reservation,
-            input,
-            per_event,
-            is_sent: false,
-            may_have_run: false,
-            output: 0,
-        }
-    }
-
-    /// Notes that the request is about to be sent. A request starts to run with its first token;
-    /// one that is cancelled before any came costs nothing.
-    pub fn sending(&mut self) {
-        self.is_sent = true;
-    }
-
-    /// Notes how a send ended; the input counts, once, when it may have run.
-    pub fn sent(&mut self, may_have_run: bool) {
-        self.is_sent = false;
-        self.may_have_run |= may_have_run;
-        self.count();
-    }
-
-    /// Counts events that go to the caller.
-    pub fn events(&mut self, events: u64) {
-        self.output += events * self.per_event;
-        self.count();
-    }
-
-    /// Whether an attempt may have run, or may still run.
-    pub fn may_have_run(&self) -> bool {
-        self.is_sent || self.may_have_run
-    }
-
-    fn count(&mut self) {
-        let counts = self.may_have_run || self.output > 0;
-        let input = if counts { self.input } else { 0 };
-        if let Some(reservation) = &mut self.reservation {
-            reservation.spent = reservation.reserved.min(input + self.output);
-        }
-    }
-}
-
 /// Why no tokens were set aside.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Short {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,7 +1,7 @@
 //! Passes a backend server's answer on to the caller.
 
 use crate::{
-    gateway::{budget, exchange, refusal},
+    gateway::{exchange, meter, refusal},
     platform::headers,
     transport::h1::{conn, fault, head},
 };
@@ -20,7 +20,7 @@
 /// A stream of events on its way to the caller.
 pub struct Stream {
     /// Counts what the request spends.
-    pub meter: budget::Meter,
+    pub meter: meter::Meter,
     /// Whether the caller has the head of the answer.
     pub is_begun: bool,
     /// Id of the last event passed on.
@@ -68,7 +68,7 @@
 
 impl Stream {
     /// A stream of which nothing was passed on yet.
-    pub fn new(meter: budget::Meter) -> Self {
+    pub fn new(meter: meter::Meter) -> Self {
         Self {
             meter,
             is_begun: false,
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -10,7 +10,7 @@
     coordination::attempts,
     gateway::{
         admission::{self, Admitted, COME_BACK},
-        budget, core, directory, exchange,
+        budget, core, directory, exchange, meter,
         refusal::Refusal,
         relay, story,
     },
@@ -135,7 +135,7 @@
     let limit = req.end().saturating_sub(gw.now());
     let engine = req.service.engine.as_ref();
     let per_event = engine.map_or(1, |engine| engine.tokens_per_event);
-    let meter = budget::Meter::new(reservation, req.need.input, per_event);
+    let meter = meter::Meter::new(reservation, req.need.input, per_event);
     let mut stream = relay::Stream::new(meter);
     let work = attempts(gw, caller, &req, story, &mut stream, close);
     if let Some(done) = gw.timers.within(limit, work).await {
--- a/src/router/calls.rs
+++ b/src/router/calls.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     protocol::messages,
-    router::{Router, draw, follow, gossip, recovery},
+    router::{Router, closing, draw, follow, gossip},
 };
 
 impl Router {
@@ -16,7 +16,7 @@
             }
             messages::RouterCall::Config { after } => Some(follow::answer(self, after)),
             messages::RouterCall::Draw { .. } => draw::answer(self, call).await,
-            messages::RouterCall::Flows { .. } => recovery::answer(self, call).await,
+            messages::RouterCall::Flows { .. } => closing::answer(self, call).await,
         }
     }
 
--- /dev/null
+++ b/src/router/closing.rs
@@ -0,0 +1,333 @@
+//! Closes fenced holders: every member promises to deal with them no more, then the ledgers take
+//! what they spent and what they left.
+
+use std::{collections::BTreeMap, sync::atomic::Ordering, time::Duration};
+
+use futures::future::join_all;
+use metrics::{counter, gauge};
+
+use crate::{
+    coordination::closing,
+    error,
+    protocol::{kv, messages},
+    router::{
+        Router,
+        fencing::{self, ATTEMPTS},
+        record, resolve,
+    },
+    state::{fences, holder_record, ledger, member, name, register},
+    transport::store,
+};
+
+const LIMIT: Duration = Duration::from_secs(2);
+
+/// Records of holders by incarnation, with their revisions.
+pub type Records = BTreeMap<member::Incarnation, (u64, holder_record::HolderRecord)>;
+
+/// Reads the records of all holders.
+///
+/// # Errors
+///
+/// [`error::Error::Store`] when the store cannot be reached.
+pub async fn read_records(router: &Router) -> Result<Records, error::Error> {
+    let (found, _) = router.store.list(store::HOLDER_PREFIX).await?;
+    let mut records = Records::new();
+    for kv in found {
+        let record: holder_record::HolderRecord = kv::decode(&kv)?;
+        records.insert(record.member.incarnation, (kv.mod_revision.0, record));
+    }
+    Ok(records)
+}
+
+/// Closes all fenced holders together, if every member gives its promise.
+pub async fn close(router: &Router) -> Result<(), error::Error> {
+    let fenced = router.fences.lock().unwrap().clone();
+    let mut records = read_records(router).await?;
+    let mut closing = closing::Closing::default();
+    for holder in &fenced.holders {
+        let Some((revision, record)) = records.remove(holder) else {
+            continue;
+        };
+        match seal(router, revision, record).await? {
+            Some(record) => closing.dead.insert(*holder, record),
+            None => {
+                closing.closed.insert(*holder);
+                continue;
+            }
+        };
+    }
+    gauge!("fulmar_closing_holders").set(closing.dead.len() as f64);
+    let fenced_self = closing.dead.contains_key(&router.member.incarnation);
+    if closing.dead.is_empty() || fenced_self && !router.leaving.load(Ordering::Relaxed) {
+        return Ok(());
+    }
+    let promised = promise_routers(router, &fenced, &records, &mut closing).await?
+        && promise_agents(router, &fenced, &mut closing).await?;
+    if !promised {
+        counter!("fulmar_closings", "result" => "blocked").increment(1);
+        return Ok(());
+    }
+    settle(router, &closing).await?;
+    for holder in closing.dead.keys() {
+        mark_closed(router, *holder).await?;
+    }
+    counter!("fulmar_closings", "result" => "closed").increment(1);
+    Ok(())
+}
+
+/// Marks a record as fenced, so that its writer cannot change it; `None` when it is closed.
+async fn seal(
+    router: &Router,
+    mut revision: u64,
+    mut record: holder_record::HolderRecord,
+) -> Result<Option<holder_record::HolderRecord>, error::Error> {
+    let key = store::holder_key(record.member.incarnation);
+    for _ in 0..ATTEMPTS {
+        match record.state {
+            holder_record::HolderState::Closed => return Ok(None),
+            holder_record::HolderState::Fenced => return Ok(Some(record)),
+            holder_record::HolderState::Live => {}
+        }
+        record.state = holder_record::HolderState::Fenced;
+        match router.store.put_if(&key, &record, revision, 0).await? {
+            store::Put::Written(_) => return Ok(Some(record)),
+            store::Put::Conflict(Some(found)) => {
+                revision = found.mod_revision.0;
+                record = kv::decode(&found)?;
+            }
+            store::Put::Conflict(None) => return Ok(None),
+        }
+    }
+    Err(fencing::kept_changing(&key))
+}
+
+/// Collects the records of all live holders after their promise; false when one is missing.
+async fn promise_routers(
+    router: &Router,
+    fenced: &fences::Fences,
+    records: &Records,
+    closing: &mut closing::Closing,
+) -> Result<bool, error::Error> {
+    let dead: Vec<_> = closing.dead.keys().copied().collect();
+    let own = router.member.incarnation;
+    let others = records.values().map(|(_, record)| &record.member);
+    let others = others.filter(|member| member.incarnation != own);
+    let asked = others.map(|member| flows(router, member, fenced.revision, dead.clone()));
+    for record in join_all(asked).await {
+        let Some(record) = record else {
+            return Ok(false);
+        };
+        closing.live.insert(record.member.incarnation, record);
+    }
+    if !closing.dead.contains_key(&own) {
+        let record = promise(router, &dead).await?;
+        closing.live.insert(own, record);
+    }
+    Ok(true)
+}
+
+async fn flows(
+    router: &Router,
+    member: &member::Member,
+    revision: u64,
+    closing: Vec<member::Incarnation>,
+) -> Option<holder_record::HolderRecord> {
+    let call = messages::RouterCall::Flows {
+        router: member.incarnation,
+        revision,
+        closing,
+    };
+    let asked = (router.fleet.router)(member.address.clone(), call);
+    match router.runtime.timers.within(LIMIT, asked).await {
+        Some(Ok(messages::RouterReply::Flows(record))) => {
+            let record: holder_record::HolderRecord = serde_json::from_slice(&record).ok()?;
+            (record.member.incarnation == member.incarnation).then_some(record)
+        }
+        _ => {
+            tracing::info!("recovery: router {} gives no promise.", member.name);
+            None
+        }
+    }
+}
+
+/// Trades no more tokens with some holders, and makes that durable before it returns the record.
+async fn promise(
+    router: &Router,
+    closing: &[member::Incarnation],
+) -> Result<holder_record::HolderRecord, error::Error> {
+    fencing::bar(router, closing);
+    record::try_flush(router).await?;
+    let written = router.billing.written.lock().unwrap().clone();
+    written.ok_or_else(|| fencing::kept_changing(&store::holder_key(router.member.incarnation)))
+}
+
+/// Answers a router that closes dead holders.
+pub async fn answer(router: &Router, call: messages::RouterCall) -> Option<messages::RouterReply> {
+    let messages::RouterCall::Flows {
+        router: meant,
+        closing,
+        ..
+    } = call
+    else {
+        return None;
+    };
+    if meant != router.member.incarnation || router.billing.is_fenced() {
+        return None;
+    }
+    let record = promise(router, &closing).await.ok()?;
+    let record = serde_json::to_vec(&record).ok()?;
+    Some(messages::RouterReply::Flows(record))
+}
+
+/// Collects the receipts of all registered agents after their promise; false when one is
+/// missing or still runs work of a dead holder.
+async fn promise_agents(
+    router: &Router,
+    fenced: &fences::Fences,
+    closing: &mut closing::Closing,
+) -> Result<bool, error::Error> {
+    let (found, _) = router.store.list(store::AGENTS_PREFIX).await?;
+    let mut agents = BTreeMap::new();
+    for kv in found {
+        let register: register::Register = kv::decode(&kv)?;
+        agents.extend(register.agents);
+    }
+    let asked = agents
+        .values()
+        .map(|agent| fence_agent(router, agent, fenced));
+    let presences = join_all(asked).await;
+    for (agent, presence) in agents.values().zip(presences) {
+        match presence {
+            resolve::Presence::Same => {}
+            resolve::Presence::Silent => {
+                tracing::info!("recovery: agent {} gives no promise.", agent.name);
+                return Ok(false);
+            }
+            resolve::Presence::Replaced => {
+                let dead: Vec<_> = closing.dead.keys().copied().collect();
+                for holder in dead {
+                    closing.lose(agent.incarnation, holder);
+                }
+                continue;
+            }
+        }
+        if !collect(router, agent, closing).await {
+            return Ok(false);
+        }
+    }
+    Ok(true)
+}
+
+/// Has an agent promise to run no more work of the fenced holders.
+async fn fence_agent(
+    router: &Router,
+    agent: &member::Member,
+    fenced: &fences::Fences,
+) -> resolve::Presence {
+    let call = messages::AgentCall::Fence {
+        agent: agent.incarnation,
+        revision: fenced.revision,
+        holders: fenced.holders.iter().copied().collect(),
+    };
+    let asked = (router.fleet.agent)(agent.address.clone(), call);
+    match router.runtime.timers.within(LIMIT, asked).await {
+        Some(Ok(messages::AgentReply::Fenced(_))) => resolve::Presence::Same,
+        _ => match resolve::presence(router, agent).await {
+            resolve::Presence::Replaced => resolve::Presence::Replaced,
+            _ => resolve::Presence::Silent,
+        },
+    }
+}
+
+async fn collect(router: &Router, agent: &member::Member, closing: &mut closing::Closing) -> bool {
+    let dead: Vec<_> = closing.dead.keys().copied().collect();
+    for holder in dead {
+        let covered = closing.dead[&holder].covered.get(&agent.incarnation);
+        let through = covered.map_or(0, |covered| covered.through);
+        let Some(receipts) = resolve::receipts(router, agent, holder, through).await else {
+            return false;
+        };
+        if receipts.iter().any(|receipt| !receipt.is_charged()) {
+            tracing::info!("recovery: agent {} still runs work.", agent.name);
+            return false;
+        }
+        closing.collect(agent.incarnation, holder, receipts);
+    }
+    true
+}
+
+/// Settles every bucket that dead holders may hold tokens in.
+async fn settle(router: &Router, closing: &closing::Closing) -> Result<(), error::Error> {
+    let (found, _) = router.store.list(store::LEDGER_PREFIX).await?;
+    let mut buckets: BTreeMap<String, kv::KeyValue> = BTreeMap::new();
+    for kv in found {
+        let key = String::from_utf8_lossy(&kv.key.0).into_owned();
+        buckets.insert(key, kv);
+    }
+    for number in 0..ledger::BUCKETS {
+        let key = store::bucket_key(number);
+        if let Some(kv) = buckets.remove(&key) {
+            settle_bucket(router, closing, number, &key, kv).await?;
+        }
+    }
+    Ok(())
+}
+
+async fn settle_bucket(
+    router: &Router,
+    closing: &closing::Closing,
+    number: u64,
+    key: &str,
+    mut kv: kv::KeyValue,
+) -> Result<(), error::Error> {
+    for _ in 0..ATTEMPTS {
+        let mut bucket: ledger::Bucket = kv::decode(&kv)?;
+        if !closing.concerns(number, &bucket) {
+            return Ok(());
+        }
+        let Some(settled) = closing.settle(number, &mut bucket) else {
+            return Ok(());
+        };
+        let put = router.store.put_if(key, &bucket, kv.mod_revision.0, 0);
+        match put.await? {
+            store::Put::Written(_) => {
+                report(&settled);
+                return Ok(());
+            }
+            store::Put::Conflict(Some(newer)) => kv = newer,
+            store::Put::Conflict(None) => return Err(fencing::kept_changing(key)),
+        }
+    }
+    Err(fencing::kept_changing(key))
+}
+
+fn report(settled: &BTreeMap<name::Name, closing::Settled>) {
+    for (budget, settled) in settled {
+        if settled.freed + settled.written_off > 0 {
+            let (freed, lost) = (settled.freed, settled.written_off);
+            tracing::info!("recovery: budget {budget}: {freed} freed, {lost} written off.");
+        }
+        counter!("fulmar_freed_tokens").increment(settled.freed);
+        counter!("fulmar_written_off_tokens").increment(settled.written_off);
+    }
+}
+
+async fn mark_closed(router: &Router, holder: member::Incarnation) -> Result<(), error::Error> {
+    let key = store::holder_key(holder);
+    for _ in 0..ATTEMPTS {
+        let Some(found) = router.store.get(&key).await? else {
+            return Ok(());
+        };
+        let mut record: holder_record::HolderRecord = kv::decode(&found)?;
+        if record.state == holder_record::HolderState::Closed {
+            return Ok(());
+        }
+        record.state = holder_record::HolderState::Closed;
+        let put = router.store.put_if(&key, &record, found.mod_revision.0, 0);
+        if let store::Put::Written(_) = put.await? {
+            tracing::info!("recovery: {} is closed.", record.member.name);
+            return Ok(());
+        }
+    }
+    Err(fencing::kept_changing(&key))
+}
--- a/src/router/record.rs
+++ b/src/router/record.rs
@@ -7,7 +7,7 @@
 use crate::{
     error,
     protocol::kv,
-    router::{Router, recovery},
+    router::{Router, fencing},
     state::holder_record,
     transport::store,
 };
@@ -53,7 +53,7 @@
         write(router, record).await?;
     }
     if !billing.ready.load(Ordering::Acquire) {
-        recovery::read_fences(router).await?;
+        fencing::read_fences(router).await?;
         billing.ready.store(true, Ordering::Release);
     }
     Ok(())
--- a/src/router/registry.rs
+++ b/src/router/registry.rs
@@ -9,7 +9,7 @@
 use crate::{
     error,
     protocol::kv,
-    router::{Router, record, recovery},
+    router::{Router, fencing, record},
     state::{member, name, register},
     transport::store,
 };
@@ -155,7 +155,7 @@
         router.escrow.admit(*agent);
     }
     record::try_flush(router).await?;
-    recovery::read_fences(router).await
+    fencing::read_fences(router).await
 }
 
 /// Gives work to agents from now on, and none to those that they replace.
