Bound the lines on malformed requests too

Cause: refusals before a request was read left a line each. The quota of failed requests now covers them; the test spends the quota of a second to come, and got 20 lines before.

--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -199,11 +199,10 @@
 ) -> request::Ended {
     metrics::counter!("fulmar_gateway_requests_total", "outcome" => refusal.code.to_string())
         .increment(1);
-    tracing::info!(
-        status = refusal.status,
-        message = refusal.message,
-        "front: refused"
-    );
+    if gw.telling.borrow_mut().take(gw.now()) {
+        let (status, message) = (refusal.status, &refusal.message);
+        tracing::info!(status, message, "front: refused");
+    }
     let linger = async {
         if conn.write(&refusal.bytes("", true)).await.is_err() {
             return;
--- a/tests/logs.rs
+++ b/tests/logs.rs
@@ -142,6 +142,28 @@
     });
 }
 
+#[test]
+fn what_is_refused_beyond_the_quota_leaves_no_line() {
+    play(&configuration(1, 100_000, 5000), async |world| {
+        // A second that has not come yet, so that none passes while the test runs.
+        let later = world.gw.now() + Duration::from_secs(1000);
+        while world.gw.telling.borrow_mut().take(later) {}
+        assert_eq!(world.gw.telling.borrow_mut().left_out(), 1);
+        let (lines, _guard) = Lines::capture();
+        let untold = id(false);
+        for _ in 0..20 {
+            assert_eq!(ask(world.front, &untold, "wrong").await, 401);
+            let mut conn = world.connect().await;
+            conn.write(b"POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n")
+                .await
+                .unwrap();
+            assert_eq!(read(&mut conn, "POST").await.status, 400);
+        }
+        assert!(lines.with("refused").is_empty(), "{}", lines.text());
+        assert_eq!(world.gw.telling.borrow_mut().left_out(), 40);
+    });
+}
+
 #[test]
 fn no_line_holds_a_key_or_a_body() {
     play(&configuration(1, 1000, 5000), async |world| {
