Write nothing into a stream that has begun

Cause: a stream broke off at its server, its route allowed to go on elsewhere, but the repeats of the service were used up (or no server was left): the refusal was written as a second answer into the open stream.

Before: the test's caller gets two heads. After: the connection ends.

--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -245,9 +245,6 @@
         }
         let allowed = attempts.failed(not_run, stream.meter.may_have_run());
         if !allowed || req.left(now).is_zero() {
-            if stream.is_begun {
-                return Err(Stop::Broken(cause));
-            }
             return Err(give_up(stream, &cause));
         }
         counter!("fulmar_gateway_repeats_total").increment(1);
@@ -260,7 +257,12 @@
     repeats.take(service, gw.allowance(), gw.routers(), gw.now())
 }
 
+/// Ends a request that is not sent again: by a refusal, or, where a stream has begun, by the end of
+/// the connection.
 fn give_up(stream: &relay::Stream, cause: &str) -> Stop {
+    if stream.is_begun {
+        return Stop::Broken(cause.to_owned());
+    }
     let refusal = match stream.meter.may_have_run() {
         true => Refusal::new(Code::BackendFailed, cause),
         false => Refusal::new(Code::NoBackend, cause).retry_after(COME_BACK),
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -187,6 +187,48 @@
     });
 }
 
+/// All that a caller gets of a stream that breaks off, byte by byte.
+async fn bytes_of_broken_stream(world: &World) -> String {
+    let answer = |arrived: &_| {
+        let mut steps = placed_server::events(arrived, 0..2, NO_PAUSE);
+        steps.pop();
+        steps.push(Step::Close);
+        steps
+    };
+    world.server("model", answer).await;
+    let mut conn = world.connect().await;
+    let bytes = request("POST", "/ask/1", USAGE, "prompt");
+    conn.write(bytes.as_bytes()).await.unwrap();
+    while let Ok(true) = conn.fill().await {}
+    String::from_utf8(conn.unread().to_vec()).unwrap()
+}
+
+/// The refusal of a repeat was written into the middle of a stream that had begun.
+#[test]
+fn nothing_follows_a_stream_that_may_not_be_repeated() {
+    play(&configuration(1, PLENTY, TIMEOUT_MS), async |world| {
+        let (allowance, now) = (world.gw.allowance(), world.gw.now());
+        let service = "model".into();
+        while world
+            .gw
+            .repeats
+            .borrow_mut()
+            .take(&service, allowance, 1, now)
+        {}
+        let text = bytes_of_broken_stream(&world).await;
+        assert_eq!(text.matches("HTTP/1.1").count(), 1, "{text}");
+        assert!(text.contains("id: 1"), "{text}");
+    });
+}
+
+#[test]
+fn nothing_follows_a_stream_that_broke_off_at_every_server() {
+    play(&configuration(1, PLENTY, TIMEOUT_MS), async |world| {
+        let text = bytes_of_broken_stream(&world).await;
+        assert_eq!(text.matches("HTTP/1.1").count(), 1, "{text}");
+    });
+}
+
 #[test]
 fn a_late_answer_of_another_request_is_dropped() {
     play(&configuration(1, PLENTY, TIMEOUT_MS), async |world| {
