Send nothing to backend servers that leave or name a time

Cause: a leaving server says so in its responses before the directory does, and a throttled one names the time at which it can serve; both were ignored, so requests were sent there and turned away.

A server is left out when it is chosen and once more when its connection is open, just before the first byte. When all servers have named a time, the caller is refused at once with the earliest (code 310). Malformed headers count as none and are counted.

--- a/src/code.rs
+++ b/src/code.rs
@@ -67,6 +67,9 @@
     /// The backend server refused or failed the request before it began to run it.
     #[display("backend_refused")]
     BackendRefused = 309,
+    /// Every backend server of the route has named a time until which it takes no requests.
+    #[display("backends_closed")]
+    BackendsClosed = 310,
     /// The backend server failed after it may have begun to run the request.
     #[display("backend_failed")]
     BackendFailed = 400,
@@ -93,7 +96,7 @@
 
 impl Code {
     /// All codes, in ascending order of their numbers.
-    pub const ALL: [Self; 27] = [
+    pub const ALL: [Self; 28] = [
         Self::Ok,
         Self::BadRequest,
         Self::BadKey,
@@ -114,6 +117,7 @@
         Self::ClaimUnavailable,
         Self::NotReady,
         Self::BackendRefused,
+        Self::BackendsClosed,
         Self::BackendFailed,
         Self::AgentLost,
         Self::DeadlinePassed,
--- a/src/coordination.rs
+++ b/src/coordination.rs
@@ -2,6 +2,7 @@
 //! no clock.
 
 pub mod account;
+pub mod announcements;
 pub mod answers;
 pub mod attempts;
 pub mod check;
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -13,7 +13,10 @@
 };
 
 use crate::{
-    coordination::{draining, ejection, log_sampling, placement, retry_window, share, store_route},
+    coordination::{
+        announcements, draining, ejection, log_sampling, placement, retry_window, share,
+        store_route,
+    },
     platform,
     state::{deployment, name, server},
     transport::{h1::connection_pool, timers},
@@ -78,6 +81,8 @@
     pub placement: RefCell<placement::Placement>,
     /// Backend servers that are excluded for a while because attempts there failed.
     pub ejection: RefCell<ejection::Ejection>,
+    /// What backend servers have said of themselves in their responses.
+    pub announcements: RefCell<announcements::Announcements>,
     /// Requests and retries of each service, which limit further retries.
     pub retry_windows: RefCell<retry_window::RetryWindows>,
     /// This router's share of each budget, by workspace.
@@ -135,6 +140,7 @@
             directory: RefCell::default(),
             placement: RefCell::default(),
             ejection: RefCell::default(),
+            announcements: RefCell::default(),
             retry_windows: RefCell::default(),
             shares: RefCell::default(),
             connection_pool: RefCell::default(),
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -6,6 +6,7 @@
 use metrics::counter;
 
 use crate::{
+    coordination::announcements,
     gateway::core,
     platform::headers,
     state::{deployment, name, server},
@@ -100,6 +101,14 @@
 ) -> Result<Response, AttemptError> {
     let running = RunningGuard::new(gw, &server.id);
     let (mut conn, is_new) = checkout(gw, server).await?;
+    if !gw.announcements.borrow().admits(server, gw.now()) {
+        // Another response said so while this request waited for its connection.
+        counter!("fulmar_gateway_attempt_failures_total", "reason" => "closed_meanwhile")
+            .increment(1);
+        return Err(AttemptError::NotRun(
+            "the server takes no requests any more".to_owned(),
+        ));
+    }
     let context = headers::RequestContext {
         server_id: &server.id,
         workspace: req.workspace.as_ref().map(|workspace| &*workspace.name),
@@ -117,6 +126,7 @@
             .increment(1);
         AttemptError::MayHaveRun(format!("{err} on a {} connection", connection_kind(is_new)))
     })?;
+    record_announcement(gw, server, &head);
     let framing = body::response_framing(&head, &req.head.method)
         .map_err(|err| AttemptError::MayHaveRun(err.to_string()))?;
     let reusable = sent_whole && head.keeps_alive() && framing != body::Framing::Close;
@@ -130,6 +140,30 @@
     })
 }
 
+/// Records what the head of a response says about the server that sent it.
+fn record_announcement(gw: &core::Gateway, server: &server::Server, head: &head::ResponseHead) {
+    let (said, malformed) = headers::announcement(head);
+    for header in malformed {
+        counter!("fulmar_gateway_malformed_announcements_total", "header" => header).increment(1);
+        tracing::warn!(server = %server.id, header, "directory: malformed announcement ignored");
+    }
+    if said == announcements::Announcement::default() {
+        return;
+    }
+    let changed = gw.announcements.borrow_mut().record(server, said, gw.now());
+    if said.is_leaving && changed {
+        // Kept connections to a leaving server are of no further use.
+        gw.connection_pool.borrow_mut().close_all(server.address);
+        counter!("fulmar_gateway_announcements_total", "kind" => "leaving").increment(1);
+        tracing::info!(server = %server.id, "directory: backend server says that it is leaving");
+    }
+    if let Some(after) = said.retry_after {
+        let closed_ms = after.as_millis() as u64;
+        counter!("fulmar_gateway_announcements_total", "kind" => "retry_after").increment(1);
+        tracing::info!(server = %server.id, closed_ms, "directory: backend server named a time");
+    }
+}
+
 fn failure_reason(err: &fault::Fault) -> &'static str {
     match err {
         fault::Fault::Io(_) => "socket",
@@ -248,7 +282,8 @@
     /// Returns the connection to the pool if it may be reused. To be called once the whole body has
     /// been read.
     pub fn recycle(self, gw: &core::Gateway) {
-        if !self.reusable || !self.conn.unread().is_empty() {
+        let is_leaving = gw.announcements.borrow().is_leaving(&self.server, gw.now());
+        if !self.reusable || is_leaving || !self.conn.unread().is_empty() {
             return;
         }
         let idle = headers::keep_alive_timeout(&self.head).unwrap_or(DEFAULT_IDLE_TIMEOUT);
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -1,6 +1,6 @@
 //! Handles one request: admission, reservation of tokens, choice of a server, attempts, response.
 
-use std::{rc::Rc, sync::Arc};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use futures::future;
 use metrics::{counter, histogram};
@@ -227,8 +227,10 @@
                 "the repeats of the service are used up",
             ));
         }
-        let Some(server) = choose_server(gw, req, &attempts) else {
-            return Err(final_error(stream, "no backend server is available"));
+        let server = match choose_server(gw, req, &attempts) {
+            Choice::Server(server) => server,
+            Choice::AllClosed(opens_at) => return Err(closed_error(gw, stream, opens_at)),
+            Choice::None => return Err(final_error(stream, "no backend server is available")),
         };
         attempts.record_send(&server.id);
         if log.is_sampled() {
@@ -250,14 +252,21 @@
             AttemptOutcome::NotRun(cause) => (cause, true),
             AttemptOutcome::Failed(cause) => (cause, false),
         };
-        gw.ejection.borrow_mut().record_failure(&server.id, now);
+        // A server that says when it can be used again needs no guess at that time.
+        let opens_at = gw.announcements.borrow().opens_at(&server, now);
+        if opens_at.is_none() {
+            gw.ejection.borrow_mut().record_failure(&server.id, now);
+        }
         if log.may_log_failure() {
             let (id, sends, server) = (&log.id, attempts.count(), &server.id);
             tracing::info!(id, %server, sends, not_run, cause, "request: attempt failed");
         }
         let allowed = attempts.record_failure(not_run, stream.meter.may_have_run());
         if !allowed || req.time_left(now).is_zero() {
-            return Err(final_error(stream, &cause));
+            return Err(match opens_at {
+                Some(opens_at) => closed_error(gw, stream, opens_at),
+                None => final_error(stream, &cause),
+            });
         }
         counter!("fulmar_gateway_repeats_total").increment(1);
     }
@@ -282,20 +291,48 @@
     refusal.into()
 }
 
-/// Chooses the server for the next attempt; `None` when the service has no ready one.
-fn choose_server(
+/// Error for a request when the servers that it could use have named a time, the earliest of which
+/// is `opens_at`.
+fn closed_error(
     gw: &core::Gateway,
-    req: &Admitted,
-    attempts: &attempts::Attempts,
-) -> Option<Arc<server::Server>> {
+    stream: &relay::EventStream,
+    opens_at: Duration,
+) -> RequestError {
+    let message = "the backend servers take no requests for now";
+    if stream.is_started || stream.meter.may_have_run() {
+        return final_error(stream, message);
+    }
+    let after = opens_at.saturating_sub(gw.now());
+    Refusal::new(Code::BackendsClosed, message)
+        .retry_after(after)
+        .into()
+}
+
+/// Where the next attempt at a request goes.
+enum Choice {
+    Server(Arc<server::Server>),
+    /// Every ready server has named a time; the earliest one.
+    AllClosed(Duration),
+    /// The service has no ready server.
+    None,
+}
+
+/// Chooses the server for the next attempt.
+fn choose_server(gw: &core::Gateway, req: &Admitted, attempts: &attempts::Attempts) -> Choice {
     let ready = directory::ready_servers(gw, &req.service.name);
     let now = gw.now();
+    let open = gw.announcements.borrow().open(&ready, now);
     let (ejection, placement) = (gw.ejection.borrow(), gw.placement.borrow());
-    attempts.choose_server(
-        &ready,
+    let chosen = attempts.choose_server(
+        &open.servers,
         |id| ejection.admits(id, now),
         |servers| placement.choose_server(servers, req.prefix, fastrand::u64(..)),
-    )
+    );
+    match (chosen, open.opens_at) {
+        (Some(server), _) => Choice::Server(server),
+        (None, Some(opens_at)) => Choice::AllClosed(opens_at),
+        (None, None) => Choice::None,
+    }
 }
 
 /// How one attempt ended; the texts are causes.
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::transport::h1::head;
+use crate::{coordination::announcements, transport::h1::head};
 
 /// Id that a caller gives to one attempt at a request.
 pub const REQUEST_ID: &str = "X-Request-Id";
@@ -19,6 +19,7 @@
 /// Seconds after which a caller may try again.
 pub const RETRY_AFTER: &str = "Retry-After";
 
+const SERVER_LEAVING: &str = "Server-Leaving";
 const AUTHORIZATION: &str = "Authorization";
 const TOKEN_USAGE: &str = "X-Token-Usage";
 const PROMPT_PREFIX: &str = "X-Prompt-Prefix";
@@ -135,6 +136,78 @@
     response.status == 421 || response.headers.all(NOT_EXECUTED).next().is_some()
 }
 
+/// Longest time that a backend server can name in `Retry-After`; a longer one is no time.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(3600);
+
+/// The only value of a header; an error when it occurs more than once.
+fn single<'a>(headers: &'a head::Headers, name: &'static str) -> Result<Option<&'a str>, ()> {
+    match headers.all(name).count() {
+        0 => Ok(None),
+        1 => headers.text(name).ok_or(()).map(Some),
+        _ => Err(()),
+    }
+}
+
+fn parse_leaving(value: &str) -> Result<bool, ()> {
+    match value.trim() {
+        "1" => Ok(true),
+        _ => Err(()),
+    }
+}
+
+/// Parses seconds with an optional fraction; signs, exponents and dates are no such number.
+fn parse_seconds(value: &str) -> Result<Duration, ()> {
+    let value = value.trim();
+    let is_plain = |c: char| c.is_ascii_digit() || c == '.';
+    if !value.starts_with(|c: char| c.is_ascii_digit()) || !value.chars().all(is_plain) {
+        return Err(());
+    }
+    let seconds: f64 = value.parse().map_err(|_| ())?;
+    let time = Duration::try_from_secs_f64(seconds).map_err(|_| ())?;
+    if time > MAX_RETRY_AFTER {
+        return Err(());
+    }
+    Ok(time)
+}
+
+/// What a response says about the backend server that sent it, and the names of headers with
+/// malformed values, which count as absent.
+///
+/// `Retry-After` counts with status 503 only. A response with status 421 comes from another process
+/// than the one addressed and says nothing about that one.
+///
+/// ```
+/// use fulmarproxy::{platform::headers, transport::h1::head};
+/// let mut given = head::Headers::default();
+/// given.push("Retry-After", b"0.5");
+/// let response = head::ResponseHead { status: 503, is_1_1: true, headers: given };
+/// let (said, malformed) = headers::announcement(&response);
+/// assert_eq!(said.retry_after, Some(std::time::Duration::from_millis(500)));
+/// assert!(!said.is_leaving && malformed.is_empty());
+/// ```
+pub fn announcement(
+    response: &head::ResponseHead,
+) -> (announcements::Announcement, Vec<&'static str>) {
+    let mut said = announcements::Announcement::default();
+    let mut malformed = Vec::new();
+    if response.status == 421 {
+        return (said, malformed);
+    }
+    let leaving = single(&response.headers, SERVER_LEAVING);
+    match leaving.and_then(|value| value.map_or(Ok(false), parse_leaving)) {
+        Ok(is_leaving) => said.is_leaving = is_leaving,
+        Err(()) => malformed.push(SERVER_LEAVING),
+    }
+    if response.status == 503 {
+        let after = single(&response.headers, RETRY_AFTER);
+        match after.and_then(|value| value.map(parse_seconds).transpose()) {
+            Ok(after) => said.retry_after = after,
+            Err(()) => malformed.push(RETRY_AFTER),
+        }
+    }
+    (said, malformed)
+}
+
 /// What the gateway tells a backend server about a request, in reserved headers.
 pub struct RequestContext<'a> {
     /// Id of the backend server that must execute the request.
--- a/src/standin/scripted_server.rs
+++ b/src/standin/scripted_server.rs
@@ -162,3 +162,21 @@
         .unwrap_or_default();
     format!("HTTP/1.1 {status} X\r\nX-Request-Id: {id}\r\nX-Response-Signature: s\r\n")
 }
+
+/// Adds header lines, each ending with CRLF, to a scripted response whose first step sends the head.
+///
+/// ```
+/// use fulmarproxy::standin::scripted_server;
+/// let steps = scripted_server::not_run_response();
+/// let steps = scripted_server::with_headers(steps, "Server-Leaving: 1\r\n");
+/// let scripted_server::Step::Send(bytes) = &steps[0] else { panic!() };
+/// assert!(bytes.windows(17).any(|found| found == b"Server-Leaving: 1"));
+/// ```
+pub fn with_headers(mut steps: Vec<Step>, lines: &str) -> Vec<Step> {
+    if let Some(Step::Send(bytes)) = steps.first_mut()
+        && let Some(end) = bytes.windows(2).position(|found| found == b"\r\n")
+    {
+        bytes.splice(end + 2..end + 2, lines.bytes());
+    }
+    steps
+}
--- a/src/transport/h1/connection_pool.rs
+++ b/src/transport/h1/connection_pool.rs
@@ -45,6 +45,11 @@
         idle.push_back(IdleConn { conn, expires_at });
     }
 
+    /// Closes all idle connections to an address.
+    pub fn close_all(&mut self, address: SocketAddr) {
+        self.idle.remove(&address);
+    }
+
     /// Closes connections that have expired or can no longer be reused.
     pub fn sweep(&mut self, now: Duration) {
         for idle in self.idle.values_mut() {
