Keep budgets whole when the store comes back from a copy

Cause: the platform's store may come back some seconds old, with revision numbers given out again. Grants of these seconds are then forgotten and would be given a second time; what a settled account returned is open again; a write that was planned before could find the number that it expects on another content.

Change: the store's era, from its responses, is part of every revision that is kept. Earlier ones are not believed, and nothing is granted on a response without one. In a higher era each gateway writes its accounts again, merged with what it remembers of the others, and a ledger grants nothing until it is settled. Writes of ledgers fail when a later era has begun. Configuration and servers stay in force until they are written again. Each budget has a lock of its own, since accounts of all are rewritten.

The check of closed accounts in tests/gateway.rs looked at the folded total alone. A closing stays listed now until no copy can miss it, so the check adds the listed ones, and asks that there is exactly one.

--- a/src/ctl/platform_view.rs
+++ b/src/ctl/platform_view.rs
@@ -137,7 +137,10 @@
         "budget": workspace,
         "prepaid": prepaid,
         "free": share::grantable(prepaid).saturating_sub(granted),
-        "spent_by_closed": ledger.closed,
+        "spent_by_closed": ledger.closed_total(),
+        "set_aside": ledger.set_aside,
+        "in_doubt": ledger.in_doubt,
+        "settled_era": ledger.settled_era,
         "holders": ledger.holders,
     })
 }
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -25,6 +25,7 @@
 pub mod relay;
 pub mod request;
 pub mod request_log;
+pub mod rollback;
 mod signals;
 
 /// Runs a gateway with the settings file at `path` until a signal tells it to stop.
@@ -55,6 +56,7 @@
     config_sync::start(&gw);
     directory::start(&gw);
     fleet::start(&gw);
+    rollback::start(&gw);
     budget::start(&gw).await?;
     front::start(&gw, listener);
     request_log::start(&gw);
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -11,9 +11,10 @@
 use metrics::counter;
 
 use crate::{
-    coordination::{rendezvous, share},
+    coordination::{ledger_plan, rendezvous, share},
     error,
     gateway::{core, ledger, peer_rpc},
+    platform::store,
     state::name,
 };
 
@@ -208,7 +209,7 @@
     };
     // One task at a time acquires tokens; tasks that waited often find that it acquired enough for
     // them as well.
-    let _guard = gw.acquire_lock.lock().await;
+    let _guard = gw.budget_lock(workspace).lock_arc().await;
     if available(gw, workspace) >= needed {
         return AcquireOutcome::Acquired;
     }
@@ -232,7 +233,12 @@
         return AcquireOutcome::Acquired;
     }
     match filled {
-        Ok(()) => {
+        Ok(holds) if !holds.is_empty() => {
+            tracing::info!(%workspace, needed, hold = ?holds[0].1, "budget: grants are held up");
+            counter!("fulmar_gateway_grants_held_up_total").increment(1);
+            AcquireOutcome::Unavailable
+        }
+        Ok(_) => {
             let elsewhere = ledger::held_elsewhere(gw, workspace);
             tracing::info!(
                 %workspace, needed, prepaid, elsewhere, all_answered, "budget: exhausted"
@@ -379,14 +385,64 @@
     if fills.is_empty() {
         return;
     }
-    let guard = gw.acquire_lock.lock().await;
-    if gw.account_closed.get() {
+    // A budget whose lock is taken is being filled already.
+    let mut guards = Vec::new();
+    fills.retain(|fill| {
+        let guard = gw.budget_lock(&fill.workspace).try_lock_arc();
+        let is_locked = guard.is_some();
+        guards.extend(guard);
+        is_locked
+    });
+    if fills.is_empty() || gw.account_closed.get() {
         return;
     }
     if let Err(err) = ledger::fill(gw, &fills).await {
         counter!("fulmar_gateway_store_failures_total", "part" => "budget").increment(1);
         tracing::warn!(%err, "budget: failed to fill shares from the ledgers");
-        drop(guard);
+        drop(guards);
         gw.timers.sleep(FILL_RETRY_DELAY).await;
     }
 }
+
+/// Writes this router's accounts into all ledgers that have granted it tokens or that it remembers
+/// from before the store's era. Returns whether all of them are settled.
+///
+/// # Errors
+///
+/// [`store::StoreError`] when the store refuses a write or does not answer.
+pub async fn write_accounts(gw: &Rc<core::Gateway>) -> Result<bool, store::StoreError> {
+    let mut workspaces: Vec<name::Name> = {
+        let shares = gw.shares.borrow();
+        let granted = shares.iter().filter(|(_, share)| share.granted() != 0);
+        let remembered = gw.remembered_ledgers.borrow();
+        granted
+            .map(|(workspace, _)| workspace)
+            .chain(remembered.keys())
+            .cloned()
+            .collect()
+    };
+    workspaces.sort();
+    workspaces.dedup();
+    let mut is_settled = true;
+    for batch in workspaces.chunks(ledger::MAX_WORKSPACES_PER_WRITE) {
+        let mut guards = Vec::new();
+        for workspace in batch {
+            guards.push(gw.budget_lock(workspace).lock_arc().await);
+        }
+        if gw.account_closed.get() {
+            return Ok(true);
+        }
+        let fills: Vec<ledger::Fill> = batch
+            .iter()
+            .map(|workspace| ledger::Fill {
+                workspace: workspace.clone(),
+                prepaid: prepaid_tokens(gw, workspace).unwrap_or(0),
+                needed: 0,
+            })
+            .collect();
+        let holds = ledger::rewrite(gw, &fills).await?;
+        let unsettled = |(_, hold): &(_, ledger_plan::Hold)| *hold == ledger_plan::Hold::Unsettled;
+        is_settled &= !holds.iter().any(unsettled);
+    }
+    Ok(is_settled)
+}
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -14,11 +14,11 @@
 
 use crate::{
     coordination::{
-        announcements, draining, ejection, log_sampling, placement, retry_window, share,
-        store_route,
+        announcements, draining, ejection, ledger_plan, log_sampling, placement, presence,
+        retry_window, share, store_route,
     },
     platform,
-    state::{deployment, name, server},
+    state::{deployment, name, server, share_ledger},
     transport::{h1::connection_pool, timers},
 };
 
@@ -97,9 +97,27 @@
     pub draining: Cell<Option<draining::Draining>>,
     /// Ledgers of budgets as last read from or written to the store, by workspace.
     pub ledgers: RefCell<HashMap<name::Name, platform::store::Item>>,
-    /// Held while tokens are acquired from or returned to the ledgers, so that one task at a time
-    /// writes them. Must be locked before any `RefCell` is borrowed.
-    pub acquire_lock: smol::lock::Mutex<()>,
+    /// What is remembered of ledgers from before the store's era, by workspace, until it has been
+    /// written in that era.
+    pub remembered_ledgers: RefCell<HashMap<name::Name, share_ledger::ShareLedger>>,
+    /// When parts of ledgers were first seen in the store's era.
+    pub ledger_sightings: RefCell<ledger_plan::Sightings>,
+    /// Era of the store in which the list of backend servers was read.
+    pub directory_era: Cell<u64>,
+    /// Era of the store whose beginning has been noted.
+    pub noted_era: Cell<u64>,
+    /// Era whose marker is known to be in the store.
+    pub marked_era: Cell<u64>,
+    /// First era that this process noted.
+    pub first_era: Cell<Option<u64>>,
+    /// Time at which the store's era was noted.
+    pub era_seen_at: Cell<Duration>,
+    /// Which routers were in the list of members, and when this one was.
+    pub presence: RefCell<presence::Presence>,
+    /// By workspace: held while its tokens are acquired from or returned to the ledger, so that one
+    /// task at a time writes it. Several are locked in the order of their names, and all before any
+    /// `RefCell` is borrowed.
+    budget_locks: RefCell<HashMap<name::Name, Arc<smol::lock::Mutex<()>>>>,
     /// Whether this router has begun to return its tokens at shutdown; from then on it takes none
     /// from the ledgers.
     pub account_closed: Cell<bool>,
@@ -148,7 +166,15 @@
             in_flight: Cell::new(0),
             draining: Cell::new(None),
             ledgers: RefCell::default(),
-            acquire_lock: smol::lock::Mutex::new(()),
+            remembered_ledgers: RefCell::default(),
+            ledger_sightings: RefCell::default(),
+            directory_era: Cell::default(),
+            noted_era: Cell::default(),
+            marked_era: Cell::default(),
+            first_era: Cell::default(),
+            era_seen_at: Cell::default(),
+            presence: RefCell::default(),
+            budget_locks: RefCell::default(),
             account_closed: Cell::new(false),
             exhausted_budgets: RefCell::default(),
             unresponsive_peers: RefCell::default(),
@@ -193,6 +219,12 @@
         format!("{}/{:x}", self.settings.borrow().vm, self.incarnation)
     }
 
+    /// The lock under which a budget's ledger is written.
+    pub fn budget_lock(&self, workspace: &name::Name) -> Arc<smol::lock::Mutex<()>> {
+        let mut locks = self.budget_locks.borrow_mut();
+        locks.entry(workspace.clone()).or_default().clone()
+    }
+
     /// Replaces the list of the other routers.
     pub fn set_peers(&self, peers: HashMap<String, SocketAddr>) {
         let (most, at) = self.highest_router_count.get();
@@ -200,6 +232,8 @@
         if count >= most || self.now() > at + ROUTER_COUNT_TTL {
             self.highest_router_count.set((count, self.now()));
         }
+        let now = self.now();
+        self.presence.borrow_mut().record_list(peers.keys(), now);
         *self.peers.borrow_mut() = peers;
     }
 
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -22,6 +22,10 @@
 /// expired during the outage. The platform documents two seconds.
 const RELIST_TIME: Duration = Duration::from_millis(2000);
 
+/// Time after the beginning of an era of the store within which servers write their entries again,
+/// one by one.
+const RELIST_TIME_AFTER_COPY: Duration = Duration::from_millis(4000);
+
 /// Starts the task that keeps the list in sync.
 pub fn start(gw: &Rc<core::Gateway>) {
     let syncing = gw.clone();
@@ -43,11 +47,21 @@
 /// changes and the list must be read again. `was_unreachable` tells whether the last store call
 /// failed.
 async fn sync(gw: &Rc<core::Gateway>, was_unreachable: &mut bool) -> Result<(), store::StoreError> {
+    let known_era = gw.directory_era.get();
     let read = gw.store.range(servers::PREFIX, false).await?;
-    let grace_until = match std::mem::take(was_unreachable) {
+    let era = gw.store.era();
+    gw.directory_era.set(era);
+    let mut grace_until = match std::mem::take(was_unreachable) {
         true => gw.now() + RELIST_TIME,
         false => Duration::ZERO,
     };
+    if known_era > 0 && era > known_era {
+        tracing::info!(
+            era,
+            "directory: read again after the store came back from a copy"
+        );
+        grace_until = gw.now() + RELIST_TIME_AFTER_COPY;
+    }
     apply_snapshot(gw, &read.items, grace_until);
     gw.servers_confirmed_at.set(gw.now());
     let mut after = read.store_revision;
@@ -66,7 +80,7 @@
         };
         for change in changes {
             match change {
-                store::Change::Written(item) => add_server(gw, &item),
+                store::Change::Written(item) => add_server(gw, &item, grace_until),
                 store::Change::Deleted(key) => handle_missing(gw, &key, grace_until),
             }
         }
@@ -86,24 +100,27 @@
         handle_missing(gw, &key, grace_until);
     }
     for item in items {
-        add_server(gw, item);
+        add_server(gw, item, grace_until);
     }
     gw.directory.borrow_mut().is_loaded = true;
 }
 
-fn add_server(gw: &core::Gateway, item: &store::Item) {
+/// Adds a server or replaces its entry. Before `grace_until` an entry that the store took from a
+/// copy does not put a draining process back.
+fn add_server(gw: &core::Gateway, item: &store::Item, grace_until: Duration) {
     let Some(found) = servers::decode(&item.key, &item.value) else {
         // The server's last valid entry stays in use.
         tracing::warn!(key = item.key, "directory: entry does not parse, ignored");
         return;
     };
     let mut directory = gw.directory.borrow_mut();
-    if directory
-        .servers
-        .get(&found.id)
-        .is_some_and(|known| **known == found)
-    {
-        return;
+    if let Some(known) = directory.servers.get(&found.id) {
+        let is_same_process =
+            known.started_unix_ms == found.started_unix_ms && known.address == found.address;
+        let goes_back = is_same_process && !known.takes_work && found.takes_work;
+        if **known == found || (goes_back && gw.now() < grace_until) {
+            return;
+        }
     }
     let server::Server {
         id,
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -5,14 +5,11 @@
 
 use metrics::{counter, gauge};
 
-use crate::{gateway::core, platform::store};
+use crate::{coordination::presence, gateway::core, platform::store};
 
 /// Prefix of the keys of the routers' entries.
 pub const PREFIX: &str = "fulmar/routers/";
 
-/// Time to live of an entry's lease; longer than usual outages of the store.
-const LEASE_TTL: Duration = Duration::from_secs(20);
-
 /// Interval at which the lease is renewed and the list is read.
 const RENEW_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -32,7 +29,9 @@
                 tracing::warn!(%err, "fleet: failed to renew the entry or read the others");
             }
             let wait = startup_intervals.next().unwrap_or(RENEW_INTERVAL);
-            keeping.timers.sleep(wait).await;
+            // An era of the store begins without the entries under leases.
+            let era_began = keeping.store.wait_for_era_after(keeping.store.era());
+            keeping.timers.within(wait, era_began).await;
         }
     });
 }
@@ -47,6 +46,9 @@
     if lease.is_none() {
         *lease = register(gw).await?;
     }
+    if lease.is_some() {
+        gw.presence.borrow_mut().record_renewal(gw.now());
+    }
     let read = gw.store.range(PREFIX, true).await?;
     let own = format!("{PREFIX}{}", gw.holder());
     let others = read.items.iter().filter(|item| item.key != own);
@@ -58,7 +60,7 @@
 
 /// Writes this router's entry under a new lease and returns the lease.
 async fn register(gw: &core::Gateway) -> Result<Option<u64>, store::StoreError> {
-    let lease = gw.store.grant_lease(LEASE_TTL).await?;
+    let lease = gw.store.grant_lease(presence::LEASE_TTL).await?;
     let key = format!("{PREFIX}{}", gw.holder());
     let value = gw.settings().fleet_listen.to_string();
     let write = store::Write {
--- a/src/gateway/ledger.rs
+++ b/src/gateway/ledger.rs
@@ -2,7 +2,9 @@
 //! at shutdown.
 //!
 //! Ledgers are updated by conditional writes against their last known revision. A write that
-//! conflicts with another router's is planned again on the ledger that the store returned.
+//! conflicts with another router's is planned again on the ledger that the store returned. When the
+//! store has come back from a copy, [`rollback`](crate::gateway::rollback) has the accounts written
+//! again; for what is granted then see [`ledger_plan`].
 
 use std::{rc::Rc, time::Duration};
 
@@ -10,8 +12,8 @@
 use metrics::{counter, gauge};
 
 use crate::{
-    coordination::share,
-    gateway::core,
+    coordination::{ledger_plan, share},
+    gateway::{core, rollback},
     platform::store,
     state::{name, share_ledger},
 };
@@ -20,7 +22,7 @@
 pub const PREFIX: &str = "fulmar/budgets/";
 
 /// Maximum number of workspaces in one write. The store accepts 32 entries per write.
-const MAX_WORKSPACES_PER_WRITE: usize = 12;
+pub const MAX_WORKSPACES_PER_WRITE: usize = 12;
 
 /// Time for which a router tries to return its tokens at shutdown; two calls that get no answer fit
 /// in. When draining took all of the grace period, the platform kills the process sooner.
@@ -47,35 +49,63 @@
     pub needed: u64,
 }
 
-/// Tokens granted from the ledgers, by workspace.
-type Grants = Vec<(name::Name, u64)>;
+/// Why tokens that a budget has left were not granted, by workspace.
+pub type Holds = Vec<(name::Name, ledger_plan::Hold)>;
+
+/// A write of ledgers and the plans that it carries out.
+struct PlannedWrite {
+    write: store::Write,
+    plans: Vec<(name::Name, ledger_plan::Plan)>,
+}
 
 fn ledger_key(workspace: &str) -> String {
     format!("{PREFIX}{workspace}")
 }
 
-/// Fills shares up to their target sizes.
+/// Fills shares up to their target sizes. Returns the budgets of which tokens are held back.
 ///
 /// # Errors
 ///
 /// [`store::StoreError`] when the store refuses a write or does not answer. The workspaces of that
 /// write and of those after it get no tokens.
-pub async fn fill(gw: &Rc<core::Gateway>, fills: &[Fill]) -> Result<(), store::StoreError> {
+pub async fn fill(gw: &Rc<core::Gateway>, fills: &[Fill]) -> Result<Holds, store::StoreError> {
+    let mut holds = Vec::new();
     for batch in fills.chunks(MAX_WORKSPACES_PER_WRITE) {
-        fill_batch(gw, batch).await?;
+        holds.extend(fill_batch(gw, batch, false).await?);
     }
-    Ok(())
+    Ok(holds)
 }
 
-async fn fill_batch(gw: &Rc<core::Gateway>, batch: &[Fill]) -> Result<(), store::StoreError> {
+/// Writes this router's accounts into ledgers, also when they grant nothing. Returns the budgets of
+/// which tokens are held back.
+///
+/// # Errors
+///
+/// As for [`fill`].
+pub async fn rewrite(gw: &Rc<core::Gateway>, batch: &[Fill]) -> Result<Holds, store::StoreError> {
+    fill_batch(gw, batch, true).await
+}
+
+async fn fill_batch(
+    gw: &Rc<core::Gateway>,
+    batch: &[Fill],
+    must_write: bool,
+) -> Result<Holds, store::StoreError> {
+    rollback::begin_era(gw).await?;
     for _ in 0..MAX_WRITE_ATTEMPTS {
-        let (write, grants) = plan_fill(gw, batch);
-        if grants.iter().all(|(_, tokens)| *tokens == 0) && can_trust_cache(gw, batch) {
-            return Ok(());
+        let planned = plan_fill(gw, batch);
+        let holds = planned.plans.iter();
+        let holds: Holds = holds
+            .filter_map(|(workspace, plan)| Some((workspace.clone(), plan.hold?)))
+            .collect();
+        let grants_nothing = planned.plans.iter().all(|(_, plan)| plan.granted == 0);
+        let may_skip = grants_nothing && holds.is_empty() && !must_write;
+        if may_skip && can_trust_cache(gw, batch) {
+            return Ok(holds);
         }
-        if commit(gw, &write).await? {
-            apply_grants(gw, &grants);
-            return Ok(());
+        if commit(gw, &planned.write).await? {
+            apply_plans(gw, &planned.plans);
+            return Ok(holds);
         }
     }
     counter!("fulmar_gateway_ledger_conflicts_total").increment(1);
@@ -83,7 +113,7 @@
         workspaces = batch.len(),
         "budget: ledgers not written, every attempt conflicted with another router's write"
     );
-    Ok(())
+    Ok(Vec::new())
 }
 
 /// Whether the cached ledgers suffice to conclude that no tokens can be granted. They don't when
@@ -96,7 +126,11 @@
 
 /// Writes ledgers; returns false when the write conflicted with another router's. The cached
 /// ledgers are updated either way, from the values written or from those that the store returned.
+///
+/// A write that was planned in an earlier era of the store than the one that applies it is not
+/// taken for applied.
 async fn commit(gw: &core::Gateway, write: &store::Write) -> Result<bool, store::StoreError> {
+    let era = gw.store.era();
     let writing = std::pin::pin!(gw.store.write(write));
     let polling = std::pin::pin!(poll_until_applied(gw, write));
     let written = match future::select(writing, polling).await {
@@ -113,6 +147,7 @@
                         key,
                         value,
                         revision,
+                        era,
                     },
                 );
             }
@@ -138,9 +173,11 @@
     let Some((key, value)) = write.puts.iter().find(|put| changes_ledger(gw, put)) else {
         return future::pending().await;
     };
+    let era = gw.store.era();
     loop {
         gw.timers.sleep(WRITE_CHECK_DELAY).await;
         match gw.store.get(key).await {
+            Ok(item) if item.era != era => return future::pending().await,
             Ok(item) if item.value == *value => {
                 counter!("fulmar_gateway_ledger_answers_lost_total").increment(1);
                 tracing::info!(key, "budget: a write without an answer was applied");
@@ -164,51 +201,87 @@
 fn cache_ledger(gw: &core::Gateway, item: store::Item) {
     if let Some(workspace) = item.key.strip_prefix(PREFIX) {
         let workspace = name::Name::from(workspace);
+        if let Some(ledger) = decode(&item) {
+            let mut sightings = gw.ledger_sightings.borrow_mut();
+            sightings.note(&workspace, &ledger, gw.now());
+        }
         gw.ledgers.borrow_mut().insert(workspace, item);
     }
 }
 
+/// Calls `plan` with what this router knows of a budget, and with the cached ledger; `None` when
+/// that one does not parse.
+fn with_context<T>(
+    gw: &core::Gateway,
+    workspace: &name::Name,
+    prepaid: u64,
+    plan: impl FnOnce(Option<share_ledger::ShareLedger>, &ledger_plan::Context<'_>) -> T,
+) -> Option<T> {
+    let now = gw.now();
+    let shares = gw.shares.borrow();
+    let share = shares.get(workspace).cloned().unwrap_or_default();
+    let remembered = gw.remembered_ledgers.borrow();
+    let was_absent = |holder: &str| rollback::was_absent(gw, holder);
+    let context = ledger_plan::Context {
+        workspace,
+        holder: &gw.holder(),
+        own: share_ledger::Holding {
+            granted: share.granted(),
+            spent: share.spent(),
+            ..share_ledger::Holding::default()
+        },
+        prepaid,
+        grantable: share::grantable(prepaid),
+        demand: share.expected_demand(ledger_plan::MAX_COPY_AGE * 2, now),
+        era: gw.store.era(),
+        is_new_fleet: rollback::is_new_fleet(gw),
+        was_absent: &was_absent,
+        is_returning: gw.presence.borrow().is_returning(now),
+        has_waited: now >= gw.era_seen_at.get() + ledger_plan::REPORT_TIME,
+        remembered: remembered.get(workspace),
+        sightings: &gw.ledger_sightings.borrow(),
+        now,
+    };
+    let ledgers = gw.ledgers.borrow();
+    let stored = match ledgers.get(workspace).filter(|item| item.revision > 0) {
+        Some(item) => Some(decode(item)?),
+        None => None,
+    };
+    Some(plan(stored, &context))
+}
+
 /// Builds the write that fills some shares, based on the cached ledgers. Its conditions make it
 /// fail when a ledger has changed meanwhile.
-fn plan_fill(gw: &core::Gateway, batch: &[Fill]) -> (store::Write, Grants) {
+fn plan_fill(gw: &core::Gateway, batch: &[Fill]) -> PlannedWrite {
     let now = gw.now();
-    let holder = gw.holder();
-    let ledgers = gw.ledgers.borrow();
-    let shares = gw.shares.borrow();
-    let mut write = store::Write::default();
-    let mut grants = Vec::new();
+    let mut planned = PlannedWrite {
+        write: store::Write::default(),
+        plans: Vec::new(),
+    };
     for fill in batch {
-        let item = ledgers.get(&fill.workspace);
-        let Some(mut ledger) = item.map_or_else(|| Some(Default::default()), decode) else {
-            continue;
-        };
+        let shares = gw.shares.borrow();
         let share = shares.get(&fill.workspace).cloned().unwrap_or_default();
-        ledger.holders.insert(holder.clone(), holding(&share));
-        let free = share::grantable(fill.prepaid).saturating_sub(ledger.granted());
-        let granted = share.refill_size(fill.prepaid, free, fill.needed, now);
-        if let Some(holding) = ledger.holders.get_mut(&holder) {
-            holding.granted += granted as i64;
-        }
-        add_conditional_put(&mut write, &fill.workspace, item, &ledger);
-        grants.push((fill.workspace.clone(), granted));
-    }
-    (write, grants)
-}
-
-fn holding(share: &share::Share) -> share_ledger::Holding {
-    share_ledger::Holding {
-        granted: share.granted(),
-        spent: share.spent(),
+        drop(shares);
+        let size = |free| share.refill_size(fill.prepaid, free, fill.needed, now);
+        let plan = with_context(gw, &fill.workspace, fill.prepaid, |stored, context| {
+            ledger_plan::fill(stored, context, size)
+        });
+        let Some(plan) = plan else { continue };
+        add_conditional_put(gw, &mut planned.write, &fill.workspace, &plan.ledger);
+        planned.plans.push((fill.workspace.clone(), plan));
     }
+    rollback::add_condition(gw, &mut planned.write);
+    planned
 }
 
 fn add_conditional_put(
+    gw: &core::Gateway,
     write: &mut store::Write,
     workspace: &str,
-    item: Option<&store::Item>,
     ledger: &share_ledger::ShareLedger,
 ) {
-    let revision = item.map_or(0, |item| item.revision);
+    let ledgers = gw.ledgers.borrow();
+    let revision = ledgers.get(workspace).map_or(0, |item| item.revision);
     match serde_json::to_vec(ledger) {
         Ok(value) => {
             write.conditions.push((ledger_key(workspace), revision));
@@ -219,7 +292,7 @@
 }
 
 /// Decodes a ledger; `None` when it does not parse. Nothing is granted from such a ledger.
-fn decode(item: &store::Item) -> Option<share_ledger::ShareLedger> {
+pub fn decode(item: &store::Item) -> Option<share_ledger::ShareLedger> {
     if item.revision == 0 {
         return Some(share_ledger::ShareLedger::default());
     }
@@ -245,14 +318,16 @@
     unspent.sum()
 }
 
-fn apply_grants(gw: &core::Gateway, grants: &Grants) {
+fn apply_plans(gw: &core::Gateway, plans: &[(name::Name, ledger_plan::Plan)]) {
     let mut shares = gw.shares.borrow_mut();
-    for (workspace, tokens) in grants {
+    for (workspace, plan) in plans {
+        rollback::record_written(gw, workspace, &plan.ledger);
+        let tokens = plan.granted;
         let share = shares.entry(workspace.clone()).or_default();
-        share.grant(*tokens);
-        if *tokens > 0 {
+        share.grant(tokens);
+        if tokens > 0 {
             let available = share.available();
-            counter!("fulmar_gateway_tokens_granted_total").increment(*tokens);
+            counter!("fulmar_gateway_tokens_granted_total").increment(tokens);
             tracing::info!(%workspace, tokens, available, "budget: share grew from the ledger");
         }
     }
@@ -263,8 +338,14 @@
 /// Closes this router's accounts at shutdown: returns all available tokens to the ledgers and adds
 /// the spent ones to the ledgers' `closed` totals. No tokens are taken from the ledgers afterwards.
 pub async fn close(gw: &Rc<core::Gateway>) {
-    let _guard = gw.acquire_lock.lock().await;
+    // Tasks that hold a lock finish first, and those that come later see that it is closed.
     gw.account_closed.set(true);
+    let mut workspaces: Vec<name::Name> = gw.shares.borrow().keys().cloned().collect();
+    workspaces.sort();
+    let mut guards = Vec::new();
+    for workspace in &workspaces {
+        guards.push(gw.budget_lock(workspace).lock_arc().await);
+    }
     let workspaces: Vec<name::Name> = {
         let mut shares = gw.shares.borrow_mut();
         for share in shares.values_mut() {
@@ -283,6 +364,11 @@
 /// Closes some accounts; returns false when the store did not apply the write in time.
 async fn close_batch(gw: &core::Gateway, batch: &[name::Name], until: Duration) -> bool {
     while gw.now() < until {
+        if let Err(err) = rollback::begin_era(gw).await {
+            tracing::info!(%err, "budget: failed to return tokens, trying again");
+            gw.timers.sleep(CLOSE_RETRY_DELAY).await;
+            continue;
+        }
         let write = plan_close(gw, batch);
         if write.puts.is_empty() {
             return true;
@@ -300,19 +386,17 @@
 }
 
 fn plan_close(gw: &core::Gateway, batch: &[name::Name]) -> store::Write {
-    let holder = gw.holder();
-    let ledgers = gw.ledgers.borrow();
-    let shares = gw.shares.borrow();
     let mut write = store::Write::default();
     for workspace in batch {
-        let item = ledgers.get(workspace);
-        let Some(mut ledger) = item.map_or_else(|| Some(Default::default()), decode) else {
-            continue;
-        };
-        let granted = shares.get(workspace).map_or(0, share::Share::granted);
-        if ledger.close(&holder, granted) {
-            add_conditional_put(&mut write, workspace, item, &ledger);
+        let closed = with_context(gw, workspace, 0, |stored, context| {
+            ledger_plan::close(stored, context)
+        });
+        if let Some(ledger) = closed.flatten() {
+            add_conditional_put(gw, &mut write, workspace, &ledger);
         }
     }
+    if !write.puts.is_empty() {
+        rollback::add_condition(gw, &mut write);
+    }
     write
 }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use crate::{coordination::announcements, transport::h1::head};
+use crate::{
+    coordination::{announcements, era},
+    transport::h1::head,
+};
 
 /// Id that a caller gives to one attempt at a request.
 pub const REQUEST_ID: &str = "X-Request-Id";
@@ -19,6 +22,7 @@
 /// Seconds after which a caller may try again.
 pub const RETRY_AFTER: &str = "Retry-After";
 
+const STORE_ERA: &str = "Store-Era";
 const SERVER_LEAVING: &str = "Server-Leaving";
 const AUTHORIZATION: &str = "Authorization";
 const TOKEN_USAGE: &str = "X-Token-Usage";
@@ -208,6 +212,26 @@
     (said, malformed)
 }
 
+/// Era of the store that a response of the store names.
+///
+/// ```
+/// use fulmarproxy::{coordination::era, platform::headers, transport::h1::head};
+/// let mut given = head::Headers::default();
+/// given.push("Store-Era", b"4");
+/// let response = head::ResponseHead { status: 200, is_1_1: true, headers: given };
+/// assert_eq!(headers::store_era(&response), era::Named::Era(4));
+/// ```
+pub fn store_era(response: &head::ResponseHead) -> era::Named {
+    match single(&response.headers, STORE_ERA) {
+        Ok(None) => era::Named::None,
+        Ok(Some(value)) if value.trim().bytes().all(|byte| byte.is_ascii_digit()) => {
+            let era = value.trim().parse();
+            era.map_or(era::Named::Malformed, era::Named::Era)
+        }
+        Ok(Some(_)) | Err(()) => era::Named::Malformed,
+    }
+}
+
 /// What the gateway tells a backend server about a request, in reserved headers.
 pub struct RequestContext<'a> {
     /// Id of the backend server that must execute the request.
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -15,6 +15,8 @@
     ip: std::net::IpAddr,
     internal_ports: [u16; 2],
     #[serde(default)]
+    bootstrap: bool,
+    #[serde(default)]
     listen: Listen,
     bounds: Bounds,
     provider: Provider,
@@ -29,6 +31,8 @@
 #[derive(Deserialize)]
 struct Bounds {
     grace_s: f64,
+    #[serde(default)]
+    drain_ms: f64,
     retry_budget_ratio: f64,
     budget_window_s: f64,
     /// Retries allowed per window in addition to the ratio. Despite the name, this has nothing to
@@ -69,12 +73,16 @@
     pub store: SocketAddr,
     /// Time between the stop signal and the kill.
     pub grace: Duration,
+    /// Time within which requests must stop to reach a backend server that says that it drains.
+    pub drain: Duration,
     /// Retries allowed per request of a service.
     pub retries_per_request: f64,
     /// Time window over which requests and retries are counted.
     pub retry_window: Duration,
     /// Retries that the whole fleet may make per window in addition to those allowed per request.
     pub retry_slack: f64,
+    /// Whether the whole system starts for the first time.
+    pub is_first_start: bool,
 }
 
 fn invalid_field(field: &'static str, allowed: &'static str) -> error::Error {
@@ -129,9 +137,11 @@
         admin_listen: file.internal_address(1),
         store: file.provider.address,
         grace: duration_from_secs(file.bounds.grace_s, "bounds.grace_s")?,
+        drain: duration_from_secs(file.bounds.drain_ms / 1000.0, "bounds.drain_ms")?,
         retries_per_request: file.bounds.retry_budget_ratio,
         retry_window: duration_from_secs(file.bounds.budget_window_s, "bounds.budget_window_s")?,
         retry_slack: file.bounds.budget_slack,
+        is_first_start: file.bootstrap,
     })
 }
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -10,6 +10,8 @@
 use serde::Deserialize;
 
 use crate::{
+    coordination::era,
+    platform::headers,
     platform::store_wire::{
         WireApplied, WireCondition, WireConflict, WireEvents, WireLease, WirePage, WirePut,
         WireWrite, decode_change, decode_item, percent_encode,
@@ -72,6 +74,9 @@
     pub value: Vec<u8>,
     /// Revision at which the key was last written; 0 for a key that does not exist.
     pub revision: u64,
+    /// Era of the store to which the revision belongs; 0 when the store names none. A revision
+    /// number may be given out again in a later era.
+    pub era: u64,
 }
 
 /// All items whose keys start with a prefix.
@@ -149,6 +154,9 @@
     route: RouteCallbacks,
     timers: timers::Timers,
     pool: RefCell<connection_pool::ConnectionPool>,
+    eras: RefCell<era::Eras>,
+    /// Notified when a new era begins.
+    era_began: event_listener::Event,
 }
 
 /// Why an attempt at a call got no response.
@@ -176,6 +184,9 @@
 struct Response {
     status: u16,
     body: Vec<u8>,
+    named_era: era::Named,
+    /// Whether the response belongs to the newest era known.
+    verdict: era::Verdict,
 }
 
 fn parse<'a, T: Deserialize<'a>>(
@@ -190,6 +201,14 @@
     StoreError::NoResponse { call, cause }
 }
 
+/// Error when a response on which tokens may be granted names no era although the store has eras.
+fn require_era(call: &'static str, response: &Response) -> Result<(), StoreError> {
+    match response.verdict {
+        era::Verdict::Unnamed => Err(no_response(call, "the response names no era".to_owned())),
+        _ => Ok(()),
+    }
+}
+
 /// Error for a status that `call` does not expect. With 429 and 503 the store states that it did
 /// nothing.
 fn status_error(call: &'static str, status: u16) -> StoreError {
@@ -206,6 +225,24 @@
             route,
             timers,
             pool: RefCell::default(),
+            eras: RefCell::default(),
+            era_began: event_listener::Event::new(),
+        }
+    }
+
+    /// Newest era of the store that its responses have named; 0 when they name none.
+    pub fn era(&self) -> u64 {
+        self.eras.borrow().newest()
+    }
+
+    /// Waits until the store names an era later than `era`.
+    pub async fn wait_for_era_after(&self, era: u64) {
+        loop {
+            let began = self.era_began.listen();
+            if self.era() > era {
+                return;
+            }
+            began.await;
         }
     }
 
@@ -218,12 +255,18 @@
         const CALL: &str = "get";
         let path = format!("/kv-key?key={}", percent_encode(key));
         let response = self.call(CALL, "GET", &path, None, CALL_TIMEOUT).await?;
+        require_era(CALL, &response)?;
+        let era = self.era();
         match response.status {
-            200 => decode_item(parse(CALL, &response)?).map_err(|cause| no_response(CALL, cause)),
+            200 => {
+                let item = decode_item(parse(CALL, &response)?, era);
+                item.map_err(|cause| no_response(CALL, cause))
+            }
             404 => Ok(Item {
                 key: key.to_owned(),
                 value: Vec::new(),
                 revision: 0,
+                era,
             }),
             status => Err(status_error(CALL, status)),
         }
@@ -255,10 +298,13 @@
             let page: WirePage = parse(CALL, &response)?;
             if after.is_empty() {
                 items.store_revision = page.store_revision;
+            } else if response.verdict == era::Verdict::Newer {
+                return Err(no_response(CALL, "an era began between pages".to_owned()));
             }
             for wire in page.items {
                 after.clone_from(&wire.key);
-                let item = decode_item(wire).map_err(|cause| no_response(CALL, cause))?;
+                let item =
+                    decode_item(wire, self.era()).map_err(|cause| no_response(CALL, cause))?;
                 items.items.push(item);
             }
             if !page.has_more || after.is_empty() {
@@ -285,12 +331,27 @@
             wait.as_millis()
         );
         let timeout = wait + WATCH_TIMEOUT_MARGIN;
-        let response = self.call(CALL, "GET", &path, None, timeout).await?;
+        let era = self.era();
+        let watching = async { Some(self.call(CALL, "GET", &path, None, timeout).await) };
+        let era_ended = async {
+            self.wait_for_era_after(era).await;
+            None
+        };
+        let Some(response) = smol::future::or(watching, era_ended).await else {
+            return Ok(WatchOutcome::HistoryLost);
+        };
+        let response = response?;
+        if self.era() != era {
+            return Ok(WatchOutcome::HistoryLost);
+        }
         match response.status {
             200 => {
                 let events: WireEvents = parse(CALL, &response)?;
-                let changes: Result<Vec<_>, _> =
-                    events.events.into_iter().map(decode_change).collect();
+                let changes: Result<Vec<_>, _> = events
+                    .events
+                    .into_iter()
+                    .map(|event| decode_change(event, era))
+                    .collect();
                 let changes = changes.map_err(|cause| no_response(CALL, cause))?;
                 Ok(WatchOutcome::Changes(changes, events.store_revision))
             }
@@ -325,8 +386,14 @@
             remove: &write.deletes,
         };
         let body = serde_json::to_vec(&wire).map_err(|err| no_response(CALL, err.to_string()))?;
+        let era = self.era();
         let response = self.call(CALL, "POST", "/kv-txn", Some(&body), CALL_TIMEOUT);
         let response = response.await?;
+        require_era(CALL, &response)?;
+        if self.era() != era {
+            // The write was planned on what the store may have forgotten.
+            return Err(no_response(CALL, "an era began meanwhile".to_owned()));
+        }
         match response.status {
             200 => {
                 let applied: WireApplied = parse(CALL, &response)?;
@@ -335,8 +402,11 @@
             404 => Ok(WriteOutcome::LeaseEnded),
             412 => {
                 let conflict: WireConflict = parse(CALL, &response)?;
-                let items: Result<Vec<_>, _> =
-                    conflict.items.into_iter().map(decode_item).collect();
+                let items: Result<Vec<_>, _> = conflict
+                    .items
+                    .into_iter()
+                    .map(|item| decode_item(item, era))
+                    .collect();
                 let items = items.map_err(|cause| no_response(CALL, cause))?;
                 Ok(WriteOutcome::Conflict(items))
             }
@@ -429,6 +499,7 @@
                     "no response within {timeout:?}"
                 ))),
             };
+            let outcome = outcome.and_then(|response| self.judge_era(call, address, response));
             let refused = matches!(&outcome, Ok(response) if matches!(response.status, 429 | 503));
             let took = self.timers.now() - started;
             metrics::counter!("fulmar_gateway_store_calls_total", "call" => call).increment(1);
@@ -448,6 +519,40 @@
         }
     }
 
+    /// Takes note of the era that a response names; a response of an earlier era is none.
+    fn judge_era(
+        &self,
+        call: &'static str,
+        address: SocketAddr,
+        mut response: Response,
+    ) -> Result<Response, AttemptError> {
+        let known = self.era();
+        response.verdict = self.eras.borrow_mut().observe(response.named_era);
+        let named = response.named_era;
+        match response.verdict {
+            era::Verdict::Current => (),
+            era::Verdict::Newer => {
+                let era = self.era();
+                metrics::gauge!("fulmar_gateway_store_era").set(era as f64);
+                tracing::info!(era, known, %address, "store: an era began");
+                self.era_began.notify(usize::MAX);
+            }
+            era::Verdict::Older => {
+                metrics::counter!("fulmar_gateway_store_era_faults_total", "kind" => "older")
+                    .increment(1);
+                tracing::warn!(call, ?named, known, %address, "store: response of an earlier era");
+                let cause = format!("a response of an earlier era than {known}");
+                return Err(AttemptError::NoResponse(cause));
+            }
+            era::Verdict::Unnamed => {
+                metrics::counter!("fulmar_gateway_store_era_faults_total", "kind" => "unnamed")
+                    .increment(1);
+                tracing::warn!(call, ?named, known, %address, "store: response names no era");
+            }
+        }
+        Ok(response)
+    }
+
     /// Sends a request and reads the response, on one connection.
     async fn exchange(
         &self,
@@ -477,6 +582,8 @@
         Ok(Response {
             status: response.status,
             body: response_body,
+            named_era: headers::store_era(&response),
+            verdict: era::Verdict::Current,
         })
     }
 
--- a/src/platform/store_wire.rs
+++ b/src/platform/store_wire.rs
@@ -76,18 +76,19 @@
     key.bytes().map(encode).collect()
 }
 
-/// Decodes an item.
+/// Decodes an item that the store returned in an era.
 ///
 /// # Errors
 ///
 /// A message with the key of the value that is not valid base64.
-pub fn decode_item(wire: WireItem) -> Result<Item, String> {
+pub fn decode_item(wire: WireItem, era: u64) -> Result<Item, String> {
     let value = base64::engine::general_purpose::STANDARD.decode(&wire.value);
     let value = value.map_err(|err| format!("the value of {} is not base64: {err}", wire.key))?;
     Ok(Item {
         key: wire.key,
         value,
         revision: wire.revision,
+        era,
     })
 }
 
@@ -96,9 +97,9 @@
 /// # Errors
 ///
 /// As for [`decode_item`].
-pub fn decode_change(wire: WireItem) -> Result<Change, String> {
+pub fn decode_change(wire: WireItem, era: u64) -> Result<Change, String> {
     match wire.deleted {
         true => Ok(Change::Deleted(wire.key)),
-        false => decode_item(wire).map(Change::Written),
+        false => decode_item(wire, era).map(Change::Written),
     }
 }
--- a/src/standin/platform_store.rs
+++ b/src/standin/platform_store.rs
@@ -21,6 +21,13 @@
 /// Maximum size of a request's head and of its body, in bytes.
 const MAX_REQUEST_BYTES: usize = 4 << 20;
 
+/// State of the store at a time, from which it can come back.
+struct Copy {
+    taken_at: Duration,
+    entries: BTreeMap<String, Entry>,
+    revision: u64,
+}
+
 /// Current value of a key.
 #[derive(Clone, Debug)]
 struct Entry {
@@ -51,6 +58,9 @@
     pub hanging_responses: Cell<u32>,
     /// Whether watches report no changes.
     pub mutes_watches: Cell<bool>,
+    /// Number of further responses whose `Store-Era` header has this text instead of the era; an
+    /// empty text leaves the header out.
+    pub wrong_eras: RefCell<Vec<String>>,
 }
 
 /// An in-memory store.
@@ -61,6 +71,11 @@
     revision: Cell<u64>,
     /// Revision up to which the history has been discarded.
     compacted_revision: Cell<u64>,
+    /// Era that responses name; 0 for none.
+    era: Cell<u64>,
+    /// States after each change while the store has eras, oldest first.
+    copies: RefCell<Vec<Copy>>,
+    timers: timers::Timers,
     /// Notified after each change.
     changed: event_listener::Event,
     /// Notified when waiting watches are to be cut off.
@@ -132,6 +147,61 @@
         self.watches_cancelled.notify(usize::MAX);
     }
 
+    /// Has the store name its era in responses, and keep the states that it can come back from.
+    pub fn begin_eras(&self) {
+        self.era.set(1);
+        self.keep_copy();
+    }
+
+    /// Era that responses name.
+    pub fn era(&self) -> u64 {
+        self.era.get()
+    }
+
+    /// Comes back from a copy that is `age` old, in a new era. Entries under leases are gone, and
+    /// so are those of the operator and of backend servers, which write theirs again; they are
+    /// returned in the order of their keys.
+    pub fn roll_back(&self, age: Duration) -> Vec<(String, String)> {
+        let now = self.timers.now();
+        let copies = self.copies.borrow();
+        let found = copies.iter().rfind(|copy| copy.taken_at + age <= now);
+        let (mut entries, revision) = match found.or(copies.first()) {
+            Some(copy) => (copy.entries.clone(), copy.revision),
+            None => return Vec::new(),
+        };
+        drop(copies);
+        let newest = self.entries.borrow().clone();
+        let is_rewritten = |key: &str| key.starts_with("op/") || key.starts_with("servers/");
+        entries.retain(|key, entry| entry.lease == 0 && !is_rewritten(key));
+        *self.entries.borrow_mut() = entries;
+        self.revision.set(revision);
+        self.history.borrow_mut().clear();
+        self.compacted_revision.set(revision);
+        self.era.set(self.era.get() + 1);
+        self.copies.borrow_mut().clear();
+        self.keep_copy();
+        self.watches_cancelled.notify(usize::MAX);
+        let rewritten = newest.into_iter().filter(|(key, _)| is_rewritten(key));
+        rewritten
+            .filter_map(|(key, entry)| {
+                let bytes = base64::engine::general_purpose::STANDARD
+                    .decode(entry.value)
+                    .ok()?;
+                Some((key, String::from_utf8(bytes).ok()?))
+            })
+            .collect()
+    }
+
+    fn keep_copy(&self) {
+        if self.era.get() > 0 {
+            self.copies.borrow_mut().push(Copy {
+                taken_at: self.timers.now(),
+                entries: self.entries.borrow().clone(),
+                revision: self.revision.get(),
+            });
+        }
+    }
+
     /// Sets a key, or removes it when `value` is `None`, under a new revision.
     fn apply(&self, key: &str, value: Option<String>, lease: u64) {
         let revision = self.revision.get() + 1;
@@ -159,6 +229,8 @@
             revision,
             value,
         });
+        drop(entries);
+        self.keep_copy();
         self.changed.notify(usize::MAX);
     }
 
@@ -190,7 +262,7 @@
         let path = head.target.split('?').next().unwrap_or_default().to_owned();
         *self.calls.borrow_mut().entry(path.clone()).or_default() += 1;
         if self.faults.unavailable.get() {
-            return respond(conn, 503, &Value::Null).await;
+            return self.respond(conn, 503, &Value::Null).await;
         }
         let (status, value) = match path.as_str() {
             "/kv-key" => self.get(&head.target),
@@ -215,7 +287,29 @@
             self.faults.hanging_responses.set(hanging - 1);
             std::future::pending::<()>().await;
         }
-        respond(conn, status, &value).await
+        self.respond(conn, status, &value).await
+    }
+
+    async fn respond(
+        &self,
+        conn: &mut conn::Conn,
+        status: u16,
+        value: &Value,
+    ) -> Result<bool, fault::Fault> {
+        let body = value.to_string();
+        let len = body.len();
+        let named = match self.faults.wrong_eras.borrow_mut().pop() {
+            Some(wrong) => wrong,
+            None if self.era.get() > 0 => self.era.get().to_string(),
+            None => String::new(),
+        };
+        let era = match named.is_empty() {
+            true => String::new(),
+            false => format!("Store-Era: {named}\r\n"),
+        };
+        let bytes = format!("HTTP/1.1 {status} X\r\n{era}Content-Length: {len}\r\n\r\n{body}");
+        conn.write(bytes.as_bytes()).await?;
+        Ok(true)
     }
 
     fn item_json(&self, key: &str, entry: Option<&Entry>) -> Value {
@@ -328,14 +422,6 @@
     }
 }
 
-async fn respond(conn: &mut conn::Conn, status: u16, value: &Value) -> Result<bool, fault::Fault> {
-    let body = value.to_string();
-    let len = body.len();
-    let bytes = format!("HTTP/1.1 {status} X\r\nContent-Length: {len}\r\n\r\n{body}");
-    conn.write(bytes.as_bytes()).await?;
-    Ok(true)
-}
-
 /// Binds a listener to a free port on the loopback address.
 ///
 /// # Errors
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -539,5 +539,6 @@
     let text = env.store.text("fulmar/budgets/desk").unwrap();
     let ledger: share_ledger::ShareLedger = serde_json::from_str(&text).unwrap();
     assert_eq!(ledger.holders, BTreeMap::new());
-    assert_eq!(ledger.closed, closed);
+    assert_eq!(ledger.closed_total(), closed);
+    assert_eq!(ledger.closings.len(), 1);
 }
--- a/tests/gateway_world/mod.rs
+++ b/tests/gateway_world/mod.rs
@@ -6,7 +6,7 @@
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use fulmarproxy::{
-    gateway::{budget, config_sync, core, directory, front},
+    gateway::{budget, config_sync, core, directory, front, rollback},
     platform::settings,
     standin::{platform_store, scripted_server},
     transport::{
@@ -103,15 +103,18 @@
         admin_listen: any_port(),
         store,
         grace: Duration::from_secs(8),
+        drain: Duration::from_secs(2),
         retries_per_request: 0.2,
         retry_window: Duration::from_secs(10),
         retry_slack: 50.0,
+        is_first_start: true,
     };
     let gw = core::Gateway::new(settings, executor);
     let listener = front::bind(any_port()).await.unwrap();
     let front = listener.local_addr().unwrap();
     config_sync::start(&gw);
     directory::start(&gw);
+    rollback::start(&gw);
     let fleet = budget::start(&gw).await.unwrap();
     front::start(&gw, listener);
     (gw, front, fleet)
--- a/tests/shares.rs
+++ b/tests/shares.rs
@@ -58,6 +58,7 @@
         let holding = Holding {
             granted: router.share.granted(),
             spent: router.share.spent(),
+            ..Holding::default()
         };
         self.ledger.holders.insert(key.clone(), holding);
         let free = PREPAID - self.ledger.granted().min(PREPAID);
@@ -122,9 +123,9 @@
                 }
                 _ => state.share.granted(),
             };
-            self.ledger.close(&key, granted);
+            self.ledger.close(&key, granted, 0);
             // A retry after a lost answer must not close the account twice.
-            assert!(!self.ledger.close(&key, granted));
+            assert!(!self.ledger.close(&key, granted, 0));
         }
         state.share = share::Share::default();
         state.incarnation += 1;
