Let watches of the server list pause after a change

Cause: a watch returns with the first change and is asked again at once, so each change of one server's entry costs a store call at every gateway.

--- a/src/coordination.rs
+++ b/src/coordination.rs
@@ -36,3 +36,4 @@
 pub mod share;
 pub mod slots;
 pub mod store_route;
+pub mod watch_pacing;
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -5,7 +5,7 @@
 use metrics::{counter, gauge};
 
 use crate::{
-    coordination::rendezvous,
+    coordination::{rendezvous, watch_pacing},
     gateway::core,
     platform::{servers, store},
     state::{name, server},
@@ -78,6 +78,7 @@
             );
             return Ok(());
         };
+        let has_changes = !changes.is_empty();
         for change in changes {
             match change {
                 store::Change::Written(item) => add_server(gw, &item, grace_until),
@@ -85,6 +86,11 @@
             }
         }
         after = revision;
+        if has_changes {
+            // The changes of this time come with one call instead of one call each.
+            let pause = watch_pacing::pause(gw.router_count(), gw.settings().drain);
+            gw.timers.sleep(pause).await;
+        }
     }
 }
 
