Let no process end at SIGHUP

Cause: carriers, routers and agents had no handler for SIGHUP, with which the platform says that a settings file has changed.

Change: transport::signals serves all roles. Carriers read their settings again and use the store's new address for new connections; settings that do not parse change nothing. SIGTERM ends a carrier with a log line and exit code 0. Routers and agents take their settings from flags and go on.

Without the handlers the signal's default action ends them.

--- a/src/carrier.rs
+++ b/src/carrier.rs
@@ -9,7 +9,7 @@
     error, logging, platform,
     transport::{
         h1::{accept, conn, dial},
-        timers,
+        signals, timers,
     },
 };
 
@@ -21,7 +21,8 @@
 
 /// Runs a carrier with the settings file at `path`; `log` is the log filter.
 ///
-/// It returns only with an error, and otherwise runs until the process is killed.
+/// It runs until a signal tells it to stop. Calls that it forwards are then cut, and the gateways
+/// make them again through another carrier. SIGHUP has it read the settings again.
 ///
 /// # Errors
 ///
@@ -30,17 +31,46 @@
     let settings = platform::settings::read_carrier(path)?;
     let _writer = logging::start_lossy(log);
     let executor = Rc::new(smol::LocalExecutor::new());
-    smol::block_on(executor.run(serve(settings, executor.clone())))
+    let signals = signals::listen()?;
+    smol::block_on(executor.run(async {
+        let listener = async_net::TcpListener::bind(settings.fleet_listen).await?;
+        tracing::info!(vm = %settings.vm, store = %settings.store, "carrier: started");
+        let store = Rc::new(Cell::new(settings.store));
+        let serving = serve(listener, store.clone(), executor.clone());
+        smol::future::or(serving, handle_signals(&signals, path, settings, &store)).await;
+        Ok(())
+    }))
+}
+
+/// Reloads the settings when a signal says so; returns when one says to stop.
+async fn handle_signals(
+    signals: &signals::Signals,
+    path: &str,
+    mut settings: platform::settings::CarrierSettings,
+    store: &Cell<SocketAddr>,
+) {
+    while let signals::Signal::Reload = signals.next().await {
+        match platform::settings::read_carrier(path) {
+            Ok(read) => {
+                store.set(read.store);
+                tracing::info!(store = %read.store, "carrier: settings reloaded on SIGHUP");
+                settings = read;
+            }
+            Err(err) => {
+                tracing::warn!(%err, "carrier: settings not reloaded, keeping the old ones");
+            }
+        }
+    }
+    tracing::info!(vm = %settings.vm, "carrier: stopped");
 }
 
 async fn serve(
-    settings: platform::settings::CarrierSettings,
+    listener: async_net::TcpListener,
+    store: Rc<Cell<SocketAddr>>,
     executor: Rc<smol::LocalExecutor<'static>>,
-) -> Result<(), error::Error> {
-    let listener = async_net::TcpListener::bind(settings.fleet_listen).await?;
+) {
     let timers = timers::Timers::default();
     let open_connections = Rc::new(Cell::new(0));
-    tracing::info!(vm = %settings.vm, store = %settings.store, "carrier: started");
     loop {
         let stream = accept::next(&listener, "carrier", &timers).await;
         if open_connections.get() >= MAX_CONNECTIONS {
@@ -52,7 +82,7 @@
         }
         let task = handle_connection(
             stream,
-            settings.store,
+            store.get(),
             timers.clone(),
             open_connections.clone(),
         );
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -3,7 +3,9 @@
 
 use std::process::ExitCode;
 
-use crate::{agent, carrier, error, flags, gateway, logging, platform, router, settings};
+use crate::{
+    agent, carrier, error, flags, gateway, logging, platform, router, settings, transport::signals,
+};
 
 /// Exit code for a wrong command line or wrong settings.
 const EXIT_USAGE: u8 = 2;
@@ -125,13 +127,13 @@
     }
 }
 
-/// Returns a future that completes at the first SIGTERM or SIGINT.
+/// Returns a future that completes at the first SIGTERM or SIGINT. SIGHUP changes nothing, since the
+/// settings come from flags and variables.
 fn stop_signal() -> Result<impl Future<Output = ()>, error::Error> {
-    let mut signals = signal_hook::iterator::Signals::new([
-        signal_hook::consts::SIGTERM,
-        signal_hook::consts::SIGINT,
-    ])?;
-    Ok(smol::unblock(move || {
-        signals.forever().next();
-    }))
+    let signals = signals::listen()?;
+    Ok(async move {
+        while signals.next().await == signals::Signal::Reload {
+            tracing::info!("daemon: SIGHUP ignored, settings change with a restart");
+        }
+    })
 }
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -7,7 +7,10 @@
 
 use std::rc::Rc;
 
-use crate::{error, logging, platform, transport::admin};
+use crate::{
+    error, logging, platform,
+    transport::{self, admin},
+};
 
 pub mod admission;
 pub mod budget;
@@ -49,7 +52,7 @@
     path: &str,
     recorder: metrics_exporter_prometheus::PrometheusHandle,
 ) -> Result<(), error::Error> {
-    let signals = signals::listen()?;
+    let signals = transport::signals::listen()?;
     let settings = gw.settings();
     let listener = front::bind(settings.listen).await?;
     pages::start(&gw, recorder).await?;
--- a/src/gateway/signals.rs
+++ b/src/gateway/signals.rs
@@ -2,49 +2,13 @@
 
 use std::{rc::Rc, time::Duration};
 
-use crate::{error, gateway::core, platform};
+use crate::{gateway::core, platform, transport::signals};
 
 /// Interval at which the settings file is read again, since it may change without a signal.
 const FILE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
-/// What a signal asks for.
-enum Signal {
-    Stop,
-    Reload,
-}
-
-/// Starts a thread that receives signals and sends their numbers to the returned channel.
-pub fn listen() -> Result<async_channel::Receiver<i32>, error::Error> {
-    let mut signals = signal_hook::iterator::Signals::new([
-        signal_hook::consts::SIGTERM,
-        signal_hook::consts::SIGINT,
-        signal_hook::consts::SIGHUP,
-    ])?;
-    let (tx, rx) = async_channel::unbounded();
-    std::thread::Builder::new()
-        .name("signals".to_owned())
-        .stack_size(64 * 1024)
-        .spawn(move || {
-            signals
-                .forever()
-                .all(|signal| tx.send_blocking(signal).is_ok())
-        })?;
-    Ok(rx)
-}
-
-async fn next(signals: &async_channel::Receiver<i32>) -> Signal {
-    match signals.recv().await {
-        Ok(signal_hook::consts::SIGHUP) => Signal::Reload,
-        Ok(_) | Err(_) => Signal::Stop,
-    }
-}
-
 /// Handles signals, and reloads changed settings, until a signal says to stop.
-pub async fn handle_until_stop(
-    gw: &Rc<core::Gateway>,
-    path: &str,
-    signals: &async_channel::Receiver<i32>,
-) {
+pub async fn handle_until_stop(gw: &Rc<core::Gateway>, path: &str, signals: &signals::Signals) {
     let path = path.to_owned();
     let polling = gw.clone();
     let polled_path = path.clone();
@@ -54,7 +18,7 @@
             reload(&polling, &polled_path);
         }
     });
-    while let Signal::Reload = next(signals).await {
+    while let signals::Signal::Reload = signals.next().await {
         tracing::info!("signals: reloading the settings on SIGHUP");
         reload(gw, &path);
     }
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -12,6 +12,7 @@
 pub mod http;
 pub mod router_rpc;
 pub mod runtime;
+pub mod signals;
 pub mod store;
 pub mod timers;
 pub mod vms;
