Refuse with 402 only what the balance is known not to cover, and send nothing for callers that left

Cause: a budget counted as spent when the ledger had nothing to grant, also if gateways that may hold tokens could not be asked. Callers got 402 and did not come back, for a budget of which three quarters were unspent in one log. And a gateway that was held up found a request, its close and its deadline at the same time, and sent the request first.

Change: the finding is certain only when every gateway answered the recall; otherwise the caller gets 429 with Retry-After, and the finding is kept for a second all the same, so that requests don't recall again. Before each attempt the caller's connection is looked at once more, and a request without time left is not sent.

Result: two tests in tests/gateway.rs, which fail without the changes (402 instead of 429; three requests at the server instead of two).

--- a/src/coordination/share.rs
+++ b/src/coordination/share.rs
@@ -74,6 +74,9 @@
     pub left: u64,
     /// Time of the finding.
     pub at: Duration,
+    /// Whether the ledger and all other holders were asked. Otherwise tokens may be left with those
+    /// that did not answer.
+    pub is_certain: bool,
 }
 
 impl Exhausted {
@@ -82,7 +85,7 @@
     /// ```
     /// use std::time::Duration;
     /// use fulmarproxy::coordination::share;
-    /// let found = share::Exhausted { prepaid: 100, left: 9, at: Duration::ZERO };
+    /// let found = share::Exhausted { prepaid: 100, left: 9, at: Duration::ZERO, is_certain: true };
     /// assert!(found.still_refuses(100, 10, Duration::ZERO));
     /// assert!(!found.still_refuses(200, 10, Duration::ZERO), "the budget was topped up");
     /// ```
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -216,8 +216,8 @@
     if gw.account_closed.get() {
         return AcquireOutcome::Unavailable;
     }
-    if is_known_exhausted(gw, workspace, prepaid, needed) {
-        return AcquireOutcome::Exhausted;
+    if let Some(is_certain) = known_exhausted(gw, workspace, prepaid, needed) {
+        return exhausted_outcome(is_certain);
     }
     let fill = ledger::Fill {
         workspace: workspace.clone(),
@@ -245,11 +245,17 @@
             );
             let at = gw.now();
             let left = available(gw, workspace);
-            let exhausted = share::Exhausted { prepaid, left, at };
+            let is_certain = all_answered;
+            let exhausted = share::Exhausted {
+                prepaid,
+                left,
+                at,
+                is_certain,
+            };
             gw.exhausted_budgets
                 .borrow_mut()
                 .insert(workspace.clone(), exhausted);
-            AcquireOutcome::Exhausted
+            exhausted_outcome(is_certain)
         }
         Err(err) => {
             counter!("fulmar_gateway_store_failures_total", "part" => "budget").increment(1);
@@ -259,11 +265,22 @@
     }
 }
 
-fn is_known_exhausted(gw: &core::Gateway, workspace: &str, prepaid: u64, needed: u64) -> bool {
+/// Outcome when neither the ledger nor the routers that answered have enough tokens. Only when all
+/// were asked is the budget known to be exhausted.
+fn exhausted_outcome(is_certain: bool) -> AcquireOutcome {
+    match is_certain {
+        true => AcquireOutcome::Exhausted,
+        false => AcquireOutcome::Unavailable,
+    }
+}
+
+/// Whether a budget was lately found exhausted: `None` when it was not, otherwise whether that is
+/// certain.
+fn known_exhausted(gw: &core::Gateway, workspace: &str, prepaid: u64, needed: u64) -> Option<bool> {
     let known = gw.exhausted_budgets.borrow();
-    let now = gw.now();
-    let known = known.get(workspace);
-    known.is_some_and(|known| known.still_refuses(prepaid, needed, now))
+    let known = known.get(workspace)?;
+    let refuses = known.still_refuses(prepaid, needed, gw.now());
+    refuses.then_some(known.is_certain)
 }
 
 /// Asks every responsive router to give all of its available tokens of a budget to this one.
@@ -370,7 +387,7 @@
         match first {
             Some(Candidate::Peer(peer)) => {
                 let extra = share.draw_size(now);
-                if extra > 0 && !is_known_exhausted(gw, name, prepaid, 0) {
+                if extra > 0 && known_exhausted(gw, name, prepaid, 0).is_none() {
                     draw_from_peer(gw, peer, name, 0, None).await;
                 }
             }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -232,6 +232,14 @@
             Choice::AllClosed(opens_at) => return Err(closed_error(gw, stream, opens_at)),
             Choice::None => return Err(final_error(stream, "no backend server is available")),
         };
+        // A process that was held up may find both the close and the next step ready at once.
+        if caller.is_closed() {
+            let cause = "the caller disconnected before the request was sent";
+            return Err(RequestError::Aborted(cause.to_owned()));
+        }
+        if req.time_left(gw.now()).is_zero() {
+            return Err(final_error(stream, "the deadline has passed"));
+        }
         attempts.record_send(&server.id);
         if log.is_sampled() {
             let running = gw.placement.borrow().running(&server.id);
--- a/src/transport/h1/conn.rs
+++ b/src/transport/h1/conn.rs
@@ -77,6 +77,14 @@
         self.stream.clone()
     }
 
+    /// Whether the peer is known to have closed its side or reset the connection. Bytes that it
+    /// sent before hide the close.
+    pub fn is_closed(&self) -> bool {
+        let mut byte = [0];
+        let peeked = self.stream.peek(&mut byte).now_or_never();
+        matches!(peeked, Some(Ok(0) | Err(_)))
+    }
+
     /// Whether an idle connection can be used for another request: the peer has neither sent
     /// surplus bytes nor closed it.
     pub fn is_reusable(&self) -> bool {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -542,3 +542,52 @@
     assert_eq!(ledger.closed_total(), closed);
     assert_eq!(ledger.closings.len(), 1);
 }
+
+/// Guards against 402 while another router that could not be asked may hold tokens: 402 means that
+/// the balance does not cover the request, and callers don't come back after it.
+#[test]
+fn a_budget_that_cannot_be_asked_for_everywhere_is_not_called_spent() {
+    run_test(&configuration(1, 300, TIMEOUT_MS), async |env| {
+        let answer = |request: &_| scripted_server::signed_event_stream(request, 0..10, NO_DELAY);
+        env.start_server("model", answer).await;
+        let silent = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = silent.local_addr().unwrap();
+        env.gw.set_peers([("entry-9/1".to_owned(), address)].into());
+        // The home is whichever of the two ranks first; the silent one never answers as home.
+        let first = env.send("POST", "/draft/1", USAGE, "prompt").await;
+        assert_eq!(first.status, 200);
+        env.until(|env| env.spent_tokens() == 160).await;
+        for _ in 0..3 {
+            let response = env.send("POST", "/draft/1", USAGE, "prompt").await;
+            assert_eq!(response.status, 429);
+            assert!(response.headers.text("Retry-After").is_some());
+        }
+        env.gw.set_peers(std::collections::HashMap::new());
+        env.sleep(1100).await;
+        let response = env.send("POST", "/draft/1", USAGE, "prompt").await;
+        assert_eq!(response.status, 402);
+    });
+}
+
+/// Guards against work for a caller that has left: a router that was held up finds the request and
+/// the close at the same time, and used to send the request first.
+#[test]
+fn a_request_of_a_caller_that_has_left_is_not_sent() {
+    run_test(&configuration(1, AMPLE_BUDGET, TIMEOUT_MS), async |env| {
+        let server = env.start_server("plain", |request| {
+            scripted_server::signed_response(request, 200, "booked")
+        });
+        let server = server.await;
+        // Its connection to the server is kept, so that the next request need not wait for one.
+        let response = env.send("POST", "/book/1", "", "a commission").await;
+        assert_eq!(response.status, 200);
+        let mut caller = std::net::TcpStream::connect(env.front_address).unwrap();
+        let bytes = request_text("POST", "/book/1", "", "a commission");
+        std::io::Write::write_all(&mut caller, bytes.as_bytes()).unwrap();
+        drop(caller);
+        let response = env.send("POST", "/book/1", "", "another commission").await;
+        assert_eq!(response.status, 200);
+        env.until(|env| env.gw.in_flight.get() == 0).await;
+        assert_eq!(server.received.borrow().len(), 2);
+    });
+}
