Give rests of shares back to the home, and check expired entries with one call

Change: a gateway other than the home gives back what demand does not need there for 1.5 s, if that is at least half of its share. The tokens leave the share before the call. Entries that expired are checked together with one range read.

--- a/src/coordination/share.rs
+++ b/src/coordination/share.rs
@@ -19,6 +19,13 @@
 /// long enough for a few attempts to reach the home.
 pub const DRAW_AHEAD_TIME: Duration = Duration::from_millis(500);
 
+/// Time for which the share of a router other than the home may cover its demand; what exceeds it
+/// goes back to the home.
+const KEEP_TIME: Duration = Duration::from_millis(1500);
+
+/// Fraction of a share that a return must at least amount to, so that tokens don't go to and fro.
+const MIN_RETURNED_FRACTION: f64 = 0.5;
+
 /// Time constant of the exponentially decaying demand rate; about the duration of a load peak.
 const DECAY_TIME: Duration = Duration::from_secs(4);
 
@@ -210,6 +217,30 @@
         given
     }
 
+    /// Takes the tokens out of the share that demand does not need here for a while, to give them back
+    /// to the budget's home; returns how many.
+    ///
+    /// A request reserves the most tokens that it can use, and what it leaves stays where it ran.
+    /// With many routers and workspaces these rests are a large part of the budgets, out of the
+    /// others' reach and lost when the routers are killed.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let mut share = fulmarproxy::coordination::share::Share::default();
+    /// share.receive(1000);
+    /// assert_eq!(share.take_surplus(Duration::ZERO), 1000);
+    /// assert_eq!(share.available(), 0);
+    /// ```
+    pub fn take_surplus(&mut self, now: Duration) -> u64 {
+        let available = self.available();
+        let surplus = available.saturating_sub(self.expected_demand(KEEP_TIME, now));
+        if (surplus as f64) < available as f64 * MIN_RETURNED_FRACTION {
+            return 0;
+        }
+        self.given += surplus;
+        surplus
+    }
+
     /// Takes all available tokens out of the share, to return them to the ledger; returns how many.
     pub fn release(&mut self) -> u64 {
         let released = self.available();
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -333,6 +333,12 @@
             (given, exhausted)
         }
         peer_rpc::Call::Status => return None,
+        peer_rpc::Call::Return { workspace, tokens } => {
+            let mut shares = gw.shares.borrow_mut();
+            shares.entry(workspace).or_default().receive(tokens);
+            counter!("fulmar_gateway_tokens_returned_total").increment(tokens);
+            (0, false)
+        }
         peer_rpc::Call::Recall { workspace } => {
             let mut shares = gw.shares.borrow_mut();
             (shares.entry(workspace).or_default().give_all(), false)
@@ -386,6 +392,7 @@
         let now = gw.now();
         match first {
             Some(Candidate::Peer(peer)) => {
+                return_surplus(gw, peer, name);
                 let extra = share.draw_size(now);
                 if extra > 0 && known_exhausted(gw, name, prepaid, 0).is_none() {
                     draw_from_peer(gw, peer, name, 0, None).await;
@@ -421,6 +428,31 @@
     }
 }
 
+/// Gives tokens that this router does not need back to the budget's home. They leave the share
+/// before the call, and are lost when the home does not receive it.
+fn return_surplus(gw: &Rc<core::Gateway>, home: SocketAddr, workspace: &name::Name) {
+    let now = gw.now();
+    let mut shares = gw.shares.borrow_mut();
+    let tokens = shares
+        .get_mut(workspace)
+        .map_or(0, |share| share.take_surplus(now));
+    drop(shares);
+    if tokens == 0 {
+        return;
+    }
+    let (calling, workspace) = (gw.clone(), workspace.clone());
+    gw.spawn(async move {
+        let call = peer_rpc::Call::Return {
+            workspace: workspace.clone(),
+            tokens,
+        };
+        if peer_rpc::call(&calling, home, call).await.is_none() {
+            counter!("fulmar_gateway_tokens_lost_total").increment(tokens);
+            tracing::info!(%home, %workspace, tokens, "budget: tokens given back were lost");
+        }
+    });
+}
+
 /// Writes this router's accounts into all ledgers that have granted it tokens or that it remembers
 /// from before the store's era. Returns whether all of them are settled.
 ///
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -77,6 +77,9 @@
     pub deployment: RefCell<Option<Arc<deployment::Deployment>>>,
     /// Backend servers.
     pub directory: RefCell<ServerDirectory>,
+    /// Backend servers whose entries expired during a store outage, until it is checked whether they
+    /// are listed again.
+    pub expired_servers: RefCell<Vec<Arc<server::Server>>>,
     /// Requests of this router in flight at each backend server, from which servers are chosen.
     pub placement: RefCell<placement::Placement>,
     /// Backend servers that are excluded for a while because attempts there failed.
@@ -156,6 +159,7 @@
             store_route: route,
             deployment: RefCell::default(),
             directory: RefCell::default(),
+            expired_servers: RefCell::default(),
             placement: RefCell::default(),
             ejection: RefCell::default(),
             announcements: RefCell::default(),
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -154,28 +154,41 @@
         return;
     }
     let id = name::Name::from(id);
+    let Some(known) = gw.directory.borrow().servers.get(&id).cloned() else {
+        return;
+    };
     tracing::info!(%id, "directory: entry expired during a store outage, server kept for now");
-    let known = gw.directory.borrow().servers.get(&id).cloned();
+    let mut expired = gw.expired_servers.borrow_mut();
+    expired.push(known);
+    if expired.len() > 1 {
+        return;
+    }
     let waiting = gw.clone();
     gw.spawn(async move {
         waiting.timers.sleep(wait).await;
-        // A changed entry means that the server has been listed again since.
-        let now = waiting.directory.borrow().servers.get(&id).cloned();
-        let same = matches!((&known, &now), (Some(a), Some(b)) if Arc::ptr_eq(a, b));
-        if same && !is_listed(&waiting, &id).await {
-            remove_server(&waiting, &id);
-        }
+        remove_unlisted(&waiting).await;
     });
 }
 
-/// Whether the store lists a server. If the store can't be reached, the server counts as listed.
-async fn is_listed(gw: &core::Gateway, id: &str) -> bool {
-    let key = format!("{}{id}", servers::PREFIX);
-    match gw.store.get(&key).await {
-        Ok(item) => item.revision > 0,
+/// Removes the servers whose entries expired during a store outage and were not written again. One
+/// call reads the entries of all; if the store can't be reached, the servers are kept.
+async fn remove_unlisted(gw: &core::Gateway) {
+    let read = gw.store.range(servers::PREFIX, false).await;
+    let expired = std::mem::take(&mut *gw.expired_servers.borrow_mut());
+    let listed: HashSet<String> = match read {
+        Ok(read) => read.items.into_iter().map(|item| item.key).collect(),
         Err(err) => {
-            tracing::warn!(%err, id, "directory: failed to check an expired entry");
-            true
+            let servers = expired.len();
+            tracing::warn!(%err, servers, "directory: failed to check expired entries");
+            return;
+        }
+    };
+    for server in expired {
+        // A changed entry means that the server has been listed again since.
+        let now = gw.directory.borrow().servers.get(&server.id).cloned();
+        let is_same = now.is_some_and(|now| Arc::ptr_eq(&now, &server));
+        if is_same && !listed.contains(&format!("{}{}", servers::PREFIX, server.id)) {
+            remove_server(gw, &server.id);
         }
     }
 }
--- a/src/gateway/peer_rpc.rs
+++ b/src/gateway/peer_rpc.rs
@@ -56,6 +56,13 @@
         /// Workspace whose budget the tokens belong to.
         workspace: name::Name,
     },
+    /// Gives tokens back to the budget's home. The sender has deducted them.
+    Return {
+        /// Workspace whose budget the tokens belong to.
+        workspace: name::Name,
+        /// Tokens given back.
+        tokens: u64,
+    },
     /// Asks for the state of the router; the reply is a JSON object for operators.
     Status,
 }
@@ -63,7 +70,9 @@
 impl Call {
     fn workspace(&self) -> Option<&name::Name> {
         match self {
-            Self::Draw { workspace, .. } | Self::Recall { workspace } => Some(workspace),
+            Self::Draw { workspace, .. }
+            | Self::Recall { workspace }
+            | Self::Return { workspace, .. } => Some(workspace),
             Self::Status => None,
         }
     }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -591,3 +591,32 @@
         assert_eq!(server.received.borrow().len(), 2);
     });
 }
+
+/// Load: a store that comes back without the entries of many servers. Each entry used to be read on
+/// its own at every gateway, which was a third of all store calls on a day with 180 servers.
+#[test]
+fn expired_entries_are_checked_with_one_call() {
+    run_test(&configuration(1, AMPLE_BUDGET, TIMEOUT_MS), async |env| {
+        for number in 0..40 {
+            let entry = format!(
+                r#"{{"service":"plain","address":"10.0.0.1:{}","zone":"a","slots":8,"state":"ready"}}"#,
+                number + 1
+            );
+            env.store.put(&format!("servers/w-{number}"), &entry);
+        }
+        env.until(|env| env.gw.directory.borrow().servers.len() == 40)
+            .await;
+        env.store.faults.unavailable.set(true);
+        env.store.compact();
+        let had_failed = |env: &TestEnv| env.store.calls.borrow()["/kv-range"] > 2;
+        env.until(had_failed).await;
+        for number in 0..40 {
+            env.store.remove(&format!("servers/w-{number}"));
+        }
+        env.store.faults.unavailable.set(false);
+        env.until(|env| env.gw.directory.borrow().servers.is_empty())
+            .await;
+        let calls = env.store.calls.borrow();
+        assert_eq!(calls.get("/kv-key"), None);
+    });
+}
