Play a workspace whose requests come to all gateways, and the loss of all

Change: tests/shares.rs plays 100 routers that get single requests of one workspace and compares what they hold with and without returns, and what callers get out of the budget.

Result: with returns they hold less than half, nobody is refused within 35 s, and no fewer requests are served until the budget is spent.

--- a/tests/shares.rs
+++ b/tests/shares.rs
@@ -291,3 +291,104 @@
         assert_eq!(day.refused, 0);
     }
 }
+
+/// Many routers that each get few requests of a workspace, through a balancer that picks any of them.
+struct Fleet {
+    home: share::Share,
+    others: Vec<share::Share>,
+    ledger: u64,
+    served: u32,
+    refused: u32,
+}
+
+const FLEET_SIZE: usize = 100;
+
+impl Fleet {
+    /// Plays requests that reserve 1,600 tokens and spend half of them, one every 40 ms. With
+    /// `returns`, routers give back what they don't need.
+    fn play(seconds: u64, returns: bool) -> Self {
+        let mut rng = fastrand::Rng::with_seed(11);
+        let mut fleet = Self {
+            home: share::Share::default(),
+            others: vec![share::Share::default(); FLEET_SIZE],
+            ledger: share::grantable(BUDGET),
+            served: 0,
+            refused: 0,
+        };
+        let mut running: Vec<(Duration, usize)> = Vec::new();
+        for tick in 0..seconds * 25 {
+            let now = Duration::from_millis(tick * 40);
+            running.retain(|(ends, router)| {
+                let ended = *ends <= now;
+                if ended {
+                    fleet.others[*router].settle(1600, 800);
+                }
+                !ended
+            });
+            if tick % 12 == 0 {
+                fleet.check_shares(returns, now);
+            }
+            let router = rng.usize(..FLEET_SIZE);
+            match fleet.reserve(router, now) {
+                true => {
+                    fleet.served += 1;
+                    running.push((now + Duration::from_millis(800), router));
+                }
+                false => fleet.refused += 1,
+            }
+        }
+        fleet
+    }
+
+    fn check_shares(&mut self, returns: bool, now: Duration) {
+        if returns {
+            let surplus = self.others.iter_mut().map(|share| share.take_surplus(now));
+            self.home.receive(surplus.sum());
+        }
+        self.fill(0, now);
+    }
+
+    fn fill(&mut self, needed: u64, now: Duration) {
+        let granted = self.home.refill_size(BUDGET, self.ledger, needed, now);
+        self.ledger -= granted;
+        self.home.grant(granted);
+    }
+
+    fn reserve(&mut self, router: usize, now: Duration) -> bool {
+        if self.others[router].reserve(1600, now) {
+            return true;
+        }
+        let extra = self.others[router].expected_demand(share::DRAW_AHEAD_TIME, now);
+        if self.home.available() < 1600 {
+            self.fill(1600, now);
+        }
+        let given = self.home.give(1600, extra, now);
+        self.others[router].receive(given);
+        self.others[router].reserve(1600, now)
+    }
+
+    /// Tokens that nobody could use any more if all routers lost their power.
+    fn held(&self) -> u64 {
+        let others = self.others.iter().map(share::Share::available);
+        others.sum::<u64>() + self.home.available()
+    }
+}
+
+/// Load: many gateways and a workspace whose requests come to all of them, and the loss of all at
+/// once. The rests that requests leave used to stay where they had run.
+#[test]
+fn rests_of_shares_are_not_lost_with_the_routers() {
+    let before = Fleet::play(35, false);
+    let after = Fleet::play(35, true);
+    assert_eq!(before.refused, 0);
+    assert_eq!(after.refused, 0);
+    assert!(
+        after.held() * 2 < before.held(),
+        "{} tokens held, {} without returns",
+        after.held(),
+        before.held()
+    );
+    // Callers get more out of the same budget until it is spent.
+    let long = [false, true].map(|returns| Fleet::play(70, returns).served);
+    assert!(long[1] >= long[0], "{long:?}");
+}
