Don't call a budget spent when its ledger is contended

Cause: when every attempt at a ledger's write conflicted with another router's, nothing was granted and the budget counted as exhausted: 402 for a budget with free tokens.

Change: such a fill is reported as held up, and the caller gets 429 with Retry-After.

Result: a_budget_whose_ledger_is_contended_is_not_called_spent in tests/gateway.rs plays conflicting writes.

--- a/src/coordination/ledger_plan.rs
+++ b/src/coordination/ledger_plan.rs
@@ -181,6 +181,8 @@
     Unsettled,
     /// The ceiling, or this router's entry, is too young.
     Young,
+    /// Other routers' writes conflicted with every attempt.
+    Contended,
 }
 
 /// Plans a write that adds this router's account to a ledger and grants it tokens; `stored` is
--- a/src/gateway/ledger.rs
+++ b/src/gateway/ledger.rs
@@ -113,7 +113,8 @@
         workspaces = batch.len(),
         "budget: ledgers not written, every attempt conflicted with another router's write"
     );
-    Ok(Vec::new())
+    let contended = |fill: &Fill| (fill.workspace.clone(), ledger_plan::Hold::Contended);
+    Ok(batch.iter().map(contended).collect())
 }
 
 /// Whether the cached ledgers suffice to conclude that no tokens can be granted. They don't when
--- a/src/standin/platform_store.rs
+++ b/src/standin/platform_store.rs
@@ -56,6 +56,8 @@
     /// Number of further writes that take effect and never get a response, while the connection
     /// stays open.
     pub hanging_responses: Cell<u32>,
+    /// Number of further conditional writes that conflict, as with another writer's.
+    pub conflicting_writes: Cell<u32>,
     /// Whether watches report no changes.
     pub mutes_watches: Cell<bool>,
     /// Number of further responses whose `Store-Era` header has this text instead of the era; an
@@ -404,7 +406,11 @@
         let entries = self.entries.borrow();
         let revision = |key: &str| entries.get(key).map_or(0, |entry| entry.revision);
         let holds = |expected: &ExpectedRevision| revision(&expected.key) == expected.revision;
-        if !write.expected_revision.iter().all(holds) {
+        let conflicts = self.faults.conflicting_writes.get();
+        self.faults
+            .conflicting_writes
+            .set(conflicts.saturating_sub(1));
+        if conflicts > 0 || !write.expected_revision.iter().all(holds) {
             let keys = write.expected_revision.iter().map(|expected| &expected.key);
             let items: Vec<Value> = keys
                 .map(|key| self.item_json(key, entries.get(key)))
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -620,3 +620,20 @@
         assert_eq!(calls.get("/kv-key"), None);
     });
 }
+
+/// Guards against 402 for a budget with free tokens: a ledger whose writes all conflicted with other
+/// routers' used to count as exhausted.
+#[test]
+fn a_budget_whose_ledger_is_contended_is_not_called_spent() {
+    run_test(&configuration(1, 100_000, TIMEOUT_MS), async |env| {
+        let answer = |request: &_| scripted_server::signed_event_stream(request, 0..10, NO_DELAY);
+        env.start_server("model", answer).await;
+        let usage = "X-Token-Usage: 15000,60\r\n";
+        env.store.faults.conflicting_writes.set(1000);
+        let response = env.send("POST", "/draft/1", usage, "prompt").await;
+        assert_eq!(response.status, 429);
+        env.store.faults.conflicting_writes.set(0);
+        let response = env.send("POST", "/draft/1", usage, "prompt").await;
+        assert_eq!(response.status, 200);
+    });
+}
