--- a/src/gateway/ledger.rs
+++ b/src/gateway/ledger.rs
@@ -3,7 +3,7 @@
 //!
 //! Ledgers are updated by conditional writes against their last known revision. A write that
 //! conflicts with another router's is planned again on the ledger that the store returned. When the
-//! store has come back from a copy, [`rollback`](crate::gateway::rollback) has the accounts written
+//! store has come back from a copy, [`rollback`] has the accounts written
 //! again; for what is granted then see [`ledger_plan`].
 
 use std::{rc::Rc, time::Duration};
--- a/tests/signals.rs
+++ b/tests/signals.rs
@@ -1,7 +1,5 @@
 //! What the daemon's processes do at SIGHUP and SIGTERM.
 
-// Each test file uses a different part of this module.
-#[allow(dead_code)]
 mod common;
 
 use std::{
