Play the store's return from a copy with real processes

Change: fulmar-standin platform-store serves the platform's store with eras; POST /drill has it come back from a copy of a given age. Leases end with an era.

--- a/src/standin/main.rs
+++ b/src/standin/main.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     error, flags,
-    standin::{crash, engine, key_values, plain, platform},
+    standin::{crash, engine, key_values, plain, platform, platform_store},
 };
 
 /// Flags that all stand-ins share.
@@ -74,7 +74,8 @@
 )];
 
 fn usage() -> String {
-    let mut text = "Usage: fulmar-standin platform|engine|plain [FLAGS]\n".to_owned();
+    let mut text =
+        "Usage: fulmar-standin platform|platform-store|engine|plain [FLAGS]\n".to_owned();
     let groups = [
         ("Flags of all stand-ins", COMMON_FLAGS),
         ("Flags of the platform", PLATFORM_FLAGS),
@@ -118,6 +119,10 @@
             let history = flags::number(&matches, "history", key_values::DEFAULT_HISTORY_CHANGES)?;
             platform::start(listener, history)?
         }
+        Some("platform-store") => {
+            println!("Listening on {address}.");
+            return Ok(platform_store::run(listener)?);
+        }
         Some("engine") => engine::start(listener, engine_options(&matches)?)?,
         Some("plain") => {
             let delay = millis(&matches, "delay-ms", Duration::ZERO)?;
@@ -125,7 +130,8 @@
         }
         _ => {
             return Err(error::Error::Argument {
-                message: "the first argument must be platform, engine or plain".to_owned(),
+                message: "the first argument must be platform, platform-store, engine or plain"
+                    .to_owned(),
             });
         }
     };
--- a/src/standin/platform_store.rs
+++ b/src/standin/platform_store.rs
@@ -194,6 +194,38 @@
             .collect()
     }
 
+    /// Id of the leases of this era.
+    fn lease(&self) -> u64 {
+        7 + self.era.get() * 1000
+    }
+
+    /// Writes the body under the key that the query names, as the operator or a server does.
+    fn put_text(&self, target: &str, body: &[u8]) -> (u16, Value) {
+        self.put(
+            query_parameter(target, "key"),
+            &String::from_utf8_lossy(body),
+        );
+        (200, json!({"revision": self.revision.get()}))
+    }
+
+    /// Drill by command: the store is away for `away_ms`, comes back from a copy that is `age_ms`
+    /// old, and the entries of the operator and of servers are written again, one every `rewrite_ms`.
+    async fn drill(&self, target: &str) -> (u16, Value) {
+        let millis = |name: &str| {
+            let value = query_parameter(target, name).parse().unwrap_or(0);
+            Duration::from_millis(value)
+        };
+        self.faults.unavailable.set(true);
+        self.timers.sleep(millis("away_ms")).await;
+        let rewritten = self.roll_back(millis("age_ms"));
+        self.faults.unavailable.set(false);
+        for (key, value) in &rewritten {
+            self.timers.sleep(millis("rewrite_ms")).await;
+            self.put(key, value);
+        }
+        (200, json!({"era": self.era.get()}))
+    }
+
     fn keep_copy(&self) {
         if self.era.get() > 0 {
             self.copies.borrow_mut().push(Copy {
@@ -274,9 +306,11 @@
                 None => return Ok(false),
             },
             "/kv-txn" => self.write(&body),
-            // All leases have the same id, and none expires.
-            "/kv-lease" => (200, json!({"lease": 7, "ttl_ms": 20000})),
-            path if path.starts_with("/kv-keep/") => (200, json!({"ttl_ms": 20000})),
+            // All leases of an era have the same id, and none expires.
+            "/kv-lease" => (200, json!({"lease": self.lease(), "ttl_ms": 20000})),
+            path if path == format!("/kv-keep/{}", self.lease()) => (200, json!({"ttl_ms": 20000})),
+            "/put" => self.put_text(&head.target, &body),
+            "/drill" => self.drill(&head.target).await,
             _ => (404, Value::Null),
         };
         let dropped = self.faults.dropped_responses.get();
@@ -428,6 +462,22 @@
     }
 }
 
+/// Serves a store with eras until the process ends.
+///
+/// # Errors
+///
+/// The error of the socket.
+pub fn run(listener: std::net::TcpListener) -> std::io::Result<()> {
+    let executor = Rc::new(smol::LocalExecutor::new());
+    let store = Rc::new(PlatformStore::default());
+    store.begin_eras();
+    smol::block_on(executor.run(async {
+        let listener = async_net::TcpListener::try_from(listener)?;
+        store.serve(listener, executor.clone()).await;
+        Ok(())
+    }))
+}
+
 /// Binds a listener to a free port on the loopback address.
 ///
 /// # Errors
