Let the operating system choose the ports of placed processes in tests

Cause: tests/signals.rs and tests/rollback_drill.rs looked for free ports, released them and wrote them into a settings file. Until the process bound them, another test's process could be given the same port, or the port after the first one, which serves the metrics.

Change: port 0 as first internal port leaves all ports to the operating system. Gateways and carriers name the addresses they are bound to in their first log line, gateways register the bound address, and both tests take the addresses from the log. The fleet listener is bound before the gateway registers.

--- a/src/carrier.rs
+++ b/src/carrier.rs
@@ -34,7 +34,8 @@
     let signals = signals::listen()?;
     smol::block_on(executor.run(async {
         let listener = async_net::TcpListener::bind(settings.fleet_listen).await?;
-        tracing::info!(vm = %settings.vm, store = %settings.store, "carrier: started");
+        let fleet = listener.local_addr()?;
+        tracing::info!(vm = %settings.vm, %fleet, store = %settings.store, "carrier: started");
         let store = Rc::new(Cell::new(settings.store));
         let serving = serve(listener, store.clone(), executor.clone());
         smol::future::or(serving, handle_signals(&signals, path, settings, &store)).await;
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -17,14 +17,15 @@
 /// each other until the second round.
 const STARTUP_INTERVALS: [Duration; 2] = [Duration::from_millis(700), Duration::from_millis(1500)];
 
-/// Starts the task that renews this router's entry and reads those of the others.
-pub fn start(gw: &Rc<core::Gateway>) {
+/// Starts the task that renews this router's entry and reads those of the others. `address` is where
+/// this router listens for the others.
+pub fn start(gw: &Rc<core::Gateway>, address: SocketAddr) {
     let keeping = gw.clone();
     gw.spawn(async move {
         let mut lease = None;
         let mut startup_intervals = STARTUP_INTERVALS.into_iter();
         loop {
-            if let Err(err) = refresh(&keeping, &mut lease).await {
+            if let Err(err) = refresh(&keeping, address, &mut lease).await {
                 counter!("fulmar_gateway_store_failures_total", "part" => "fleet").increment(1);
                 tracing::warn!(%err, "fleet: failed to renew the entry or read the others");
             }
@@ -36,7 +37,11 @@
     });
 }
 
-async fn refresh(gw: &core::Gateway, lease: &mut Option<u64>) -> Result<(), store::StoreError> {
+async fn refresh(
+    gw: &core::Gateway,
+    address: SocketAddr,
+    lease: &mut Option<u64>,
+) -> Result<(), store::StoreError> {
     if let Some(id) = *lease
         && !gw.store.renew_lease(id).await?
     {
@@ -44,7 +49,7 @@
         *lease = None;
     }
     if lease.is_none() {
-        *lease = register(gw).await?;
+        *lease = register(gw, address).await?;
     }
     if lease.is_some() {
         gw.presence.borrow_mut().record_renewal(gw.now());
@@ -59,10 +64,13 @@
 }
 
 /// Writes this router's entry under a new lease and returns the lease.
-async fn register(gw: &core::Gateway) -> Result<Option<u64>, store::StoreError> {
+async fn register(
+    gw: &core::Gateway,
+    address: SocketAddr,
+) -> Result<Option<u64>, store::StoreError> {
     let lease = gw.store.grant_lease(presence::LEASE_TTL).await?;
     let key = format!("{PREFIX}{}", gw.holder());
-    let value = gw.settings().fleet_listen.to_string();
+    let value = address.to_string();
     let write = store::Write {
         puts: vec![(key, value.into_bytes())],
         lease: lease.id,
--- a/src/gateway/pages.rs
+++ b/src/gateway/pages.rs
@@ -18,26 +18,30 @@
 /// Path of the metrics in the Prometheus text format.
 const METRICS_PATH: &str = "/metrics";
 
-/// Starts the readiness listener and the admin listener; both serve both endpoints.
+/// Starts the readiness listener and the admin listener; both serve both endpoints. Returns the
+/// addresses they listen on, in this order.
 ///
 /// # Errors
 ///
 /// The error of binding a socket.
-pub async fn start(gw: &Rc<core::Gateway>, recorder: PrometheusHandle) -> Result<(), error::Error> {
+pub async fn start(
+    gw: &Rc<core::Gateway>,
+    recorder: PrometheusHandle,
+) -> Result<(SocketAddr, SocketAddr), error::Error> {
     let settings = gw.settings();
     let recorder = Rc::new(recorder);
-    for address in [settings.ready_listen, settings.admin_listen] {
-        listen(gw, address, recorder.clone()).await?;
-    }
-    Ok(())
+    let ready = listen(gw, settings.ready_listen, recorder.clone()).await?;
+    let admin = listen(gw, settings.admin_listen, recorder).await?;
+    Ok((ready, admin))
 }
 
 async fn listen(
     gw: &Rc<core::Gateway>,
     address: SocketAddr,
     recorder: Rc<PrometheusHandle>,
-) -> Result<(), error::Error> {
+) -> Result<SocketAddr, error::Error> {
     let listener = async_net::TcpListener::bind(address).await?;
+    let bound = listener.local_addr()?;
     let accepting = gw.clone();
     gw.spawn(async move {
         loop {
@@ -47,7 +51,7 @@
             accepting.spawn(async move { serve(&serving, stream, &recorder).await });
         }
     });
-    Ok(())
+    Ok(bound)
 }
 
 async fn serve(gw: &core::Gateway, stream: async_net::TcpStream, recorder: &PrometheusHandle) {
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -98,9 +98,14 @@
 }
 
 impl File {
-    /// Address with the port at `offset` from the first internal port.
+    /// Address with the port at `offset` from the first internal port. When that one is 0, the
+    /// operating system chooses each port.
     fn internal_address(&self, offset: u16) -> SocketAddr {
-        SocketAddr::new(self.ip, self.internal_ports[0].saturating_add(offset))
+        let port = match self.internal_ports[0] {
+            0 => 0,
+            first => first.saturating_add(offset),
+        };
+        SocketAddr::new(self.ip, port)
     }
 }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,15 +1,13 @@
 //! Starts a small fleet as separate processes on free loopback ports.
 #![allow(dead_code)]
 
+pub mod placed;
 pub mod proxy;
 
 use std::{
-    collections::BTreeSet,
     io::{BufRead, BufReader},
-    net::TcpListener,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    sync::Mutex,
     time::{Duration, Instant},
 };
 
@@ -56,18 +54,6 @@
     vms: Vec<Value>,
 }
 
-/// Returns a free loopback address that this process has not returned before.
-pub fn free_address() -> String {
-    static RETURNED: Mutex<BTreeSet<String>> = Mutex::new(BTreeSet::new());
-    loop {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap().to_string();
-        if RETURNED.lock().unwrap().insert(address.clone()) {
-            return address;
-        }
-    }
-}
-
 /// Address on which the operating system chooses the port.
 const ANY_PORT: &str = "127.0.0.1:0";
 
--- a/tests/rollback_drill.rs
+++ b/tests/rollback_drill.rs
@@ -2,12 +2,12 @@
 //! and one of two gateways dies with it.
 
 // Each test file uses a different part of this module.
+mod common;
 mod gateway_world;
 
 use std::{
-    fs,
     io::{BufRead, BufReader, Read, Write},
-    net::{TcpListener, TcpStream},
+    net::TcpStream,
     process::{Child, Command, Stdio},
     rc::Rc,
     sync::atomic::{AtomicU64, Ordering},
@@ -16,6 +16,7 @@
 };
 
 use base64::Engine as _;
+use common::placed::Placed;
 use fulmarproxy::{
     standin::{platform_store, scripted_server},
     state::share_ledger::ShareLedger,
@@ -100,45 +101,17 @@
     rx.recv().unwrap()
 }
 
-fn free_port() -> u16 {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap().port()
-}
-
 /// Starts a gateway and waits until it is ready; returns it with its address for callers.
-fn start_gateway(name: &str, store: &str) -> (Process, String) {
-    let path = std::env::temp_dir().join(format!("fulmar-drill-{}-{name}", std::process::id()));
-    // The second internal port serves the metrics.
-    let (fleet, front, ready) = loop {
-        let fleet = free_port();
-        if TcpListener::bind(("127.0.0.1", fleet.saturating_add(1))).is_ok() {
-            break (fleet, free_port(), free_port());
-        }
-    };
-    let text = format!(
-        "node = \"{name}\"\nzone = \"a\"\nip = \"127.0.0.1\"\nbootstrap = true\n\
-         internal_ports = [{fleet}, {fleet}]\n\
-         [listen]\nfront = \"127.0.0.1:{front}\"\nready = \"127.0.0.1:{ready}\"\n\
-         [bounds]\ngrace_s = 3\ndrain_ms = 2000\nretry_budget_ratio = 0.2\n\
-         budget_window_s = 10\nbudget_slack = 50\n[provider]\naddress = \"{store}\"\n"
-    );
-    fs::write(&path, text).unwrap();
-    let child = Command::new(env!("CARGO_BIN_EXE_fulmard"))
-        .args(["gateway", "--settings", path.to_str().unwrap()])
-        .stdout(match std::env::var("FULMAR_DRILL_LOG") {
-            Ok(_) => Stdio::inherit(),
-            Err(_) => Stdio::null(),
-        })
-        .spawn()
-        .unwrap();
-    let gateway = Process(child);
+fn start_gateway(vm: &str, store: &str) -> (Placed, String) {
+    let mut gateway = Placed::start("gateway", vm, store);
+    gateway.pass_log_on(std::env::var("FULMAR_DRILL_LOG").is_ok());
     let probe = "GET /readiness HTTP/1.1\r\nHost: g\r\n\r\n";
-    let address = format!("127.0.0.1:{ready}");
-    while TcpStream::connect(&address).is_err() || !call(&address, probe).contains(" 200 ") {
+    let ready = gateway.address("ready");
+    while !call(&ready, probe).contains(" 200 ") {
         thread::sleep(Duration::from_millis(20));
     }
-    let _ = fs::remove_file(&path);
-    (gateway, format!("127.0.0.1:{front}"))
+    let front = gateway.address("front");
+    (gateway, front)
 }
 
 /// The ledger in the store; `None` when there is none.
