Give each expired entry the time of its own store outage

Cause: the servers whose entries expired in a second outage, within 2 s of a first one, were checked at the time of the first, up to 2 s before the platform promises that their entries are back, and removed.

Change: coordination::expired_entries keeps a due time for each server; a later outage replaces it, and a check takes those that are due.

--- a/src/coordination.rs
+++ b/src/coordination.rs
@@ -18,6 +18,7 @@
 pub mod ejection;
 pub mod era;
 pub mod escrow;
+pub mod expired_entries;
 pub mod fair_queue;
 pub mod history;
 pub mod ledger_plan;
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -14,8 +14,8 @@
 
 use crate::{
     coordination::{
-        announcements, draining, ejection, ledger_plan, log_sampling, placement, presence,
-        retry_window, share, store_route,
+        announcements, draining, ejection, expired_entries, ledger_plan, log_sampling, placement,
+        presence, retry_window, share, store_route,
     },
     platform,
     state::{deployment, name, server, share_ledger},
@@ -79,7 +79,7 @@
     pub directory: RefCell<ServerDirectory>,
     /// Backend servers whose entries expired during a store outage, until it is checked whether they
     /// are listed again.
-    pub expired_servers: RefCell<Vec<Arc<server::Server>>>,
+    pub expired_servers: RefCell<expired_entries::ExpiredEntries>,
     /// Requests of this router in flight at each backend server, from which servers are chosen.
     pub placement: RefCell<placement::Placement>,
     /// Backend servers that are excluded for a while because attempts there failed.
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -148,8 +148,7 @@
     let Some(id) = key.strip_prefix(servers::PREFIX) else {
         return;
     };
-    let wait = grace_until.saturating_sub(gw.now());
-    if wait.is_zero() {
+    if gw.now() >= grace_until {
         remove_server(gw, id);
         return;
     }
@@ -158,32 +157,40 @@
         return;
     };
     tracing::info!(%id, "directory: entry expired during a store outage, server kept for now");
-    let mut expired = gw.expired_servers.borrow_mut();
-    expired.push(known);
-    if expired.len() > 1 {
+    if !gw.expired_servers.borrow_mut().add(known, grace_until) {
         return;
     }
     let waiting = gw.clone();
     gw.spawn(async move {
-        waiting.timers.sleep(wait).await;
-        remove_unlisted(&waiting).await;
+        loop {
+            let next_due = waiting.expired_servers.borrow().next_due();
+            let Some(due) = next_due else {
+                return;
+            };
+            let wait = due.saturating_sub(waiting.now());
+            waiting.timers.sleep(wait).await;
+            remove_unlisted(&waiting).await;
+        }
     });
 }
 
-/// Removes the servers whose entries expired during a store outage and were not written again. One
-/// call reads the entries of all; if the store can't be reached, the servers are kept.
+/// Removes the servers whose entries expired during a store outage and were not written again in
+/// time. One call reads the entries of all; if the store can't be reached, the servers are kept.
 async fn remove_unlisted(gw: &core::Gateway) {
+    let overdue = gw.expired_servers.borrow_mut().take_due(gw.now());
+    if overdue.is_empty() {
+        return;
+    }
     let read = gw.store.range(servers::PREFIX, false).await;
-    let expired = std::mem::take(&mut *gw.expired_servers.borrow_mut());
     let listed: HashSet<String> = match read {
         Ok(read) => read.items.into_iter().map(|item| item.key).collect(),
         Err(err) => {
-            let servers = expired.len();
+            let servers = overdue.len();
             tracing::warn!(%err, servers, "directory: failed to check expired entries");
             return;
         }
     };
-    for server in expired {
+    for server in overdue {
         // A changed entry means that the server has been listed again since.
         let now = gw.directory.borrow().servers.get(&server.id).cloned();
         let is_same = now.is_some_and(|now| Arc::ptr_eq(&now, &server));
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -621,6 +621,50 @@
     });
 }
 
+const EXAMPLE_ENTRY: &str =
+    r#"{"service":"plain","address":"10.0.0.1:1","zone":"a","slots":8,"state":"ready"}"#;
+
+/// Takes the store away, removes an entry meanwhile, and waits until the gateway keeps its server for
+/// a time. Returns the end of the outage.
+async fn expire_in_an_outage(env: &TestEnv, id: &str) -> Duration {
+    let range_calls = |env: &TestEnv| env.store.calls.borrow()["/kv-range"];
+    let before = range_calls(env);
+    env.store.faults.unavailable.set(true);
+    // A change ends the watch that waits, and the next one fails.
+    env.store.put("servers/w-0", EXAMPLE_ENTRY);
+    env.until(|env| range_calls(env) > before).await;
+    env.store.remove(&format!("servers/{id}"));
+    let end = env.gw.now();
+    env.store.faults.unavailable.set(false);
+    let is_waiting = |env: &TestEnv| {
+        let due = env.gw.expired_servers.borrow().next_due();
+        due.is_some_and(|due| due > end)
+    };
+    env.until(is_waiting).await;
+    end
+}
+
+/// Guards against servers that are removed before their time: those of a second outage used to be
+/// checked at the time of the first one.
+#[test]
+fn each_expired_entry_has_the_time_of_its_own_outage() {
+    run_test(&configuration(1, AMPLE_BUDGET, TIMEOUT_MS), async |env| {
+        for id in ["w-1", "w-2"] {
+            env.store.put(&format!("servers/{id}"), EXAMPLE_ENTRY);
+        }
+        let is_listed =
+            |env: &TestEnv, id: &str| env.gw.directory.borrow().servers.contains_key(id);
+        env.until(|env| is_listed(env, "w-2")).await;
+        expire_in_an_outage(&env, "w-1").await;
+        env.sleep(1000).await;
+        let end = expire_in_an_outage(&env, "w-2").await;
+        assert!(is_listed(&env, "w-1") && is_listed(&env, "w-2"));
+        env.until(|env| !is_listed(env, "w-2")).await;
+        let kept = env.gw.now() - end;
+        assert!(kept >= Duration::from_secs(2), "{kept:?}");
+    });
+}
+
 /// Guards against 402 for a budget with free tokens: a ledger whose writes all conflicted with other
 /// routers' used to count as exhausted.
 #[test]
