Place requests by the tokens that they wait for

Cause: servers were compared by the number of this router's requests there.

Change: coordination::placement compares what a request waits for: the tokens that a server has still to read for this router, what running requests cost, and the prompt, of which the first server in the order for its prefix need not read the shared part. Tokens count as read with the first piece of the answer.

--- a/src/coordination/attempts.rs
+++ b/src/coordination/attempts.rs
@@ -80,7 +80,7 @@
         }
     }
 
-    /// Chooses a server with `pick`: among the untried servers that are healthy, else among all
+    /// Chooses with `pick`: among the untried servers that are healthy, else among all
     /// untried servers, else among all.
     ///
     /// ```
@@ -89,12 +89,12 @@
     /// let attempts = attempts::Attempts::new(limits);
     /// assert!(attempts.choose_server(&[], |_| true, |ready| ready.first().cloned()).is_none());
     /// ```
-    pub fn choose_server(
+    pub fn choose_server<T>(
         &self,
         ready: &[Arc<server::Server>],
         is_healthy: impl Fn(&str) -> bool,
-        pick: impl Fn(&[Arc<server::Server>]) -> Option<Arc<server::Server>>,
-    ) -> Option<Arc<server::Server>> {
+        pick: impl Fn(&[Arc<server::Server>]) -> Option<T>,
+    ) -> Option<T> {
         let mut untried = ready.to_vec();
         untried.retain(|server| !self.tried.contains(&server.id));
         let mut healthy = untried.clone();
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -1,10 +1,12 @@
 //! Chooses the backend server for a request.
 //!
-//! Many requests share long prompt prefixes, and a server that has processed a prefix once answers
-//! further requests with it faster. Every router ranks the servers of a service for a prefix in the
-//! same order, by rendezvous hashing, so requests with the same prefix reach the same server
-//! without coordination between routers. A server that already runs more than its share of this
-//! router's requests is skipped, so that a popular prefix does not overload it.
+//! Handles bursts of prompts of very different length, many of which share long prefixes. An engine
+//! reads prompts one after another, so a request waits for what its server has still to read, and a
+//! server that has read a prefix before need not read it again. Every router ranks the servers of a
+//! service for a prefix in the same order, by rendezvous hashing, and counts on the first one to
+//! have read it: requests with the same prefix meet at one server without coordination between
+//! routers. Another server is chosen when the wait for the first one would cost more than reading
+//! the prefix again.
 
 use std::{collections::HashMap, sync::Arc};
 
@@ -13,46 +15,78 @@
     state::{name, server},
 };
 
-/// Load of a server, relative to the mean over all servers, from which on requests with a prompt
-/// prefix go elsewhere. Processing a prefix again on another server costs about as much as two
-/// queued requests.
-const MAX_RELATIVE_LOAD: f64 = 1.5;
+/// Cost of a running request to the next one at the same server, in tokens to be read: it slows
+/// down every step of the engine, and holds one of its slots.
+const COST_OF_RUNNING: u64 = 200;
 
-/// Lower limit of the bound: a server with fewer requests than this never counts as loaded.
-const MIN_LOAD_BOUND: f64 = 4.0;
+/// What is known of a request's prompt.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Prompt {
+    /// Id of the longest prefix that other requests may share; `None` when there is none.
+    pub prefix: Option<u64>,
+    /// Tokens of that prefix.
+    pub shared_tokens: u64,
+    /// Tokens after it.
+    pub own_tokens: u64,
+}
+
+/// The server chosen for a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Placed {
+    /// The server.
+    pub server: Arc<server::Server>,
+    /// Tokens of the prompt that the server probably has to read.
+    pub unread_tokens: u64,
+}
+
+/// What this router's requests in flight do at one server.
+#[derive(Clone, Copy, Debug, Default)]
+struct Load {
+    running: u64,
+    unread_tokens: u64,
+}
 
-/// Number of this router's requests in flight at each backend server.
+/// Load that this router's requests in flight put on each backend server.
 #[derive(Debug, Default)]
 pub struct Placement {
-    running: HashMap<name::Name, u32>,
+    loads: HashMap<name::Name, Load>,
 }
 
 impl Placement {
-    /// Counts a request that was sent to a server.
-    pub fn begin(&mut self, id: &name::Name) {
-        *self.running.entry(id.clone()).or_default() += 1;
+    /// Counts a request that is sent to a server which has to read `unread_tokens` of its prompt.
+    pub fn begin(&mut self, id: &name::Name, unread_tokens: u64) {
+        let load = self.loads.entry(id.clone()).or_default();
+        load.running += 1;
+        load.unread_tokens += unread_tokens;
+    }
+
+    /// Counts tokens that a server has read, or that it need not read any more.
+    pub fn record_read(&mut self, id: &str, tokens: u64) {
+        if let Some(load) = self.loads.get_mut(id) {
+            load.unread_tokens = load.unread_tokens.saturating_sub(tokens);
+        }
     }
 
     /// Counts a request at a server that has ended.
     pub fn end(&mut self, id: &str) {
-        let Some(running) = self.running.get_mut(id) else {
+        let Some(load) = self.loads.get_mut(id) else {
             return;
         };
-        *running = running.saturating_sub(1);
-        if *running == 0 {
-            self.running.remove(id);
+        load.running = load.running.saturating_sub(1);
+        if load.running == 0 {
+            self.loads.remove(id);
         }
     }
 
     /// Number of this router's requests in flight at a server.
-    pub fn running(&self, id: &str) -> u32 {
-        self.running.get(id).copied().unwrap_or(0)
+    pub fn running(&self, id: &str) -> u64 {
+        self.loads.get(id).map_or(0, |load| load.running)
     }
 
-    /// Chooses a server for a request.
+    /// Chooses the server at which a request waits for the fewest tokens: those that the server has
+    /// still to read for this router, the request's own, and what running requests cost.
     ///
-    /// `prefix` is the id of the longest prefix of the prompt that other requests share. A request
-    /// without one goes to the least loaded server; `tie` selects among equally loaded servers.
+    /// `tie` selects among servers with equal costs when the prompt has no shared prefix.
     ///
     /// ```
     /// use std::sync::Arc;
@@ -61,49 +95,33 @@
     ///     id: "i-1".into(), service: "s".into(), address: "10.0.0.1:80".parse().unwrap(),
     ///     zone: "a".into(), slots: 1, takes_work: true, started_unix_ms: 0,
     /// });
-    /// let chosen = placement::Placement::default().choose_server(&[server], Some(7), 0).unwrap();
-    /// assert_eq!(&*chosen.id, "i-1");
+    /// let prompt = placement::Prompt { prefix: Some(7), shared_tokens: 400, own_tokens: 20 };
+    /// let placed = placement::Placement::default().choose_server(&[server], &prompt, 0).unwrap();
+    /// assert_eq!((&*placed.server.id, placed.unread_tokens), ("i-1", 20));
     /// ```
     pub fn choose_server(
         &self,
         servers: &[Arc<server::Server>],
-        prefix: Option<u64>,
+        prompt: &Prompt,
         tie: u64,
-    ) -> Option<Arc<server::Server>> {
-        match prefix {
-            Some(prefix) => self.highest_ranked(servers, prefix),
-            None => self.least_loaded(servers, tie),
-        }
-    }
-
-    fn least_loaded(
-        &self,
-        servers: &[Arc<server::Server>],
-        tie: u64,
-    ) -> Option<Arc<server::Server>> {
-        let load = |server: &&Arc<server::Server>| {
-            (
-                self.running(&server.id),
-                rendezvous::weight(&server.id, tie),
-            )
+    ) -> Option<Placed> {
+        let key = prompt.prefix.unwrap_or(tie);
+        let rank = |server: &&Arc<server::Server>| rendezvous::weight(&server.id, key);
+        let first = servers.iter().max_by_key(rank)?;
+        let unread_tokens = |server: &Arc<server::Server>| match server.id == first.id {
+            true => prompt.own_tokens,
+            false => prompt.own_tokens.saturating_add(prompt.shared_tokens),
         };
-        servers.iter().min_by_key(load).cloned()
-    }
-
-    fn highest_ranked(
-        &self,
-        servers: &[Arc<server::Server>],
-        prefix: u64,
-    ) -> Option<Arc<server::Server>> {
-        let total: u32 = servers.iter().map(|server| self.running(&server.id)).sum();
-        let mean = f64::from(total) / servers.len().max(1) as f64;
-        let bound = (mean * MAX_RELATIVE_LOAD).max(MIN_LOAD_BOUND);
-        let is_below_bound =
-            |server: &&Arc<server::Server>| f64::from(self.running(&server.id)) < bound;
-        let rank = |server: &&Arc<server::Server>| rendezvous::weight(&server.id, prefix);
-        let chosen = servers.iter().filter(is_below_bound).max_by_key(rank);
-        chosen
-            .cloned()
-            .or_else(|| self.least_loaded(servers, prefix))
+        let cost = |server: &Arc<server::Server>| {
+            let load = self.loads.get(&server.id).copied().unwrap_or_default();
+            let waiting = load.unread_tokens + load.running * COST_OF_RUNNING;
+            waiting.saturating_add(unread_tokens(server))
+        };
+        let by_cost = |server: &&Arc<server::Server>| (cost(server), !rank(server));
+        let chosen = servers.iter().min_by_key(by_cost)?;
+        Some(Placed {
+            server: chosen.clone(),
+            unread_tokens: unread_tokens(chosen),
+        })
     }
 }
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -5,6 +5,7 @@
 
 use crate::{
     code::Code,
+    coordination::placement,
     gateway::{core, exchange::OutgoingRequest, refusal::Refusal},
     platform::headers,
     state::deployment,
@@ -31,9 +32,8 @@
     pub route: Arc<deployment::Route>,
     /// Service to which the request is sent.
     pub service: Arc<deployment::Service>,
-    /// Id of the longest prefix of the prompt that other requests may share: the id of the prefix's
-    /// last part. `None` when the request names no prompt parts.
-    pub prefix: Option<u64>,
+    /// Prompt, as the request names its parts.
+    pub prompt: placement::Prompt,
     /// Tokens that the request needs.
     pub token_need: headers::TokenNeed,
     /// Time at which the whole request had been received.
@@ -115,12 +115,8 @@
         Refusal::new(Code::NoBackend, "the route's service is not known")
             .retry_after(UNAVAILABLE_RETRY_AFTER)
     })?;
-    let parts = headers::prompt_parts(&head.headers);
-    // The last part belongs to this request alone; the prefix that others may share ends with the
-    // part before it.
-    let last_shared = parts.len().saturating_sub(2);
-    let prefix = parts.get(last_shared).map(|part| part.id);
     let token_need = headers::token_need(&head.headers).unwrap_or_default();
+    let prompt = prompt(&headers::prompt_parts(&head.headers), token_need.input);
     let priority = workspace.as_ref().and_then(|workspace| workspace.priority);
     let priority = priority.unwrap_or(route.priority).min(9);
     let priority = service.engine.as_ref().map(|_| priority);
@@ -140,13 +136,30 @@
         },
         route: route.clone(),
         service,
-        prefix,
+        prompt,
         token_need,
         received,
         deadline,
     })
 }
 
+/// The prompt of a request with `input_tokens` tokens that names these parts.
+///
+/// The last part belongs to the request or its session; the prefix that others may share ends with
+/// the part before it. A prompt of one part is shared by the requests of its session only.
+fn prompt(parts: &[headers::PromptPart], input_tokens: u64) -> placement::Prompt {
+    let shared = &parts[..parts.len().saturating_sub(1)];
+    let shared_tokens = shared
+        .iter()
+        .map(|part| part.tokens)
+        .fold(0, u64::saturating_add);
+    placement::Prompt {
+        prefix: shared.last().or(parts.last()).map(|part| part.id),
+        shared_tokens,
+        own_tokens: input_tokens.saturating_sub(shared_tokens),
+    }
+}
+
 /// Picks one of a route's target services at random, in proportion to their weights.
 fn pick_service(
     deployment: &deployment::Deployment,
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -1,12 +1,12 @@
 //! One attempt at a request: sends it to a backend server and reads the head of the response.
 
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
 
 use futures::future;
 use metrics::counter;
 
 use crate::{
-    coordination::announcements,
+    coordination::{announcements, placement},
     gateway::core,
     platform::headers,
     state::{deployment, name, server},
@@ -51,7 +51,7 @@
     /// Whether the connection may be reused once the body has been read.
     reusable: bool,
     /// Counts the request as running at the server until the response is dropped.
-    _running: RunningGuard,
+    running: RunningGuard,
 }
 
 /// Why an attempt yielded no response that could be relayed.
@@ -66,20 +66,30 @@
 struct RunningGuard {
     gw: Rc<core::Gateway>,
     id: name::Name,
+    unread_tokens: Cell<u64>,
 }
 
 impl RunningGuard {
-    fn new(gw: &Rc<core::Gateway>, id: &name::Name) -> Self {
-        gw.placement.borrow_mut().begin(id);
+    fn new(gw: &Rc<core::Gateway>, placed: &placement::Placed) -> Self {
+        let id = &placed.server.id;
+        gw.placement.borrow_mut().begin(id, placed.unread_tokens);
         Self {
             gw: gw.clone(),
             id: id.clone(),
+            unread_tokens: Cell::new(placed.unread_tokens),
         }
     }
+
+    /// Records that the server has read the prompt.
+    fn record_read(&self) {
+        let tokens = self.unread_tokens.take();
+        self.gw.placement.borrow_mut().record_read(&self.id, tokens);
+    }
 }
 
 impl Drop for RunningGuard {
     fn drop(&mut self) {
+        self.record_read();
         self.gw.placement.borrow_mut().end(&self.id);
     }
 }
@@ -95,11 +105,12 @@
 pub async fn attempt(
     gw: &Rc<core::Gateway>,
     req: &OutgoingRequest,
-    server: &Arc<server::Server>,
+    placed: &placement::Placed,
     left: Duration,
     last_event: Option<&str>,
 ) -> Result<Response, AttemptError> {
-    let running = RunningGuard::new(gw, &server.id);
+    let server = &placed.server;
+    let running = RunningGuard::new(gw, placed);
     let (mut conn, is_new) = checkout(gw, server).await?;
     if !gw.announcements.borrow().admits(server, gw.now()) {
         // Another response said so while this request waited for its connection.
@@ -136,7 +147,7 @@
         body: body::Body::new(framing),
         conn,
         reusable,
-        _running: running,
+        running,
     })
 }
 
@@ -276,7 +287,9 @@
     ///
     /// [`fault::Fault`] when the connection ends before the body does.
     pub async fn next(&mut self) -> Result<Option<Vec<u8>>, fault::Fault> {
-        self.body.next(&mut self.conn).await
+        let piece = self.body.next(&mut self.conn).await;
+        self.running.record_read();
+        piece
     }
 
     /// Returns the connection to the pool if it may be reused. To be called once the whole body has
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -1,13 +1,13 @@
 //! Handles one request: admission, reservation of tokens, choice of a server, attempts, response.
 
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use futures::future;
 use metrics::{counter, histogram};
 
 use crate::{
     code::Code,
-    coordination::attempts,
+    coordination::{attempts, placement},
     gateway::{
         admission::{self, Admitted, UNAVAILABLE_RETRY_AFTER},
         budget, core, directory, exchange, meter,
@@ -15,7 +15,7 @@
         relay, request_log,
     },
     platform::headers,
-    state::{name, server},
+    state::name,
     transport::h1::{conn, fault, head},
 };
 
@@ -227,8 +227,8 @@
                 "the repeats of the service are used up",
             ));
         }
-        let server = match choose_server(gw, req, &attempts) {
-            Choice::Server(server) => server,
+        let placed = match choose_server(gw, req, &attempts) {
+            Choice::Placed(placed) => placed,
             Choice::AllClosed(opens_at) => return Err(closed_error(gw, stream, opens_at)),
             Choice::None => return Err(final_error(stream, "no backend server is available")),
         };
@@ -240,6 +240,7 @@
         if req.time_left(gw.now()).is_zero() {
             return Err(final_error(stream, "the deadline has passed"));
         }
+        let server = &placed.server;
         attempts.record_send(&server.id);
         if log.is_sampled() {
             let running = gw.placement.borrow().running(&server.id);
@@ -247,7 +248,7 @@
             tracing::info!(id, server = %server.id, running, left, "request: sent");
         }
         let started = gw.now();
-        let end = try_server(gw, caller, req, &server, stream, close).await;
+        let end = try_server(gw, caller, req, &placed, stream, close).await;
         let now = gw.now();
         let (cause, not_run) = match end {
             AttemptOutcome::Done => {
@@ -261,7 +262,7 @@
             AttemptOutcome::Failed(cause) => (cause, false),
         };
         // A server that says when it can be used again needs no guess at that time.
-        let opens_at = gw.announcements.borrow().opens_at(&server, now);
+        let opens_at = gw.announcements.borrow().opens_at(server, now);
         if opens_at.is_none() {
             gw.ejection.borrow_mut().record_failure(&server.id, now);
         }
@@ -318,7 +319,7 @@
 
 /// Where the next attempt at a request goes.
 enum Choice {
-    Server(Arc<server::Server>),
+    Placed(placement::Placed),
     /// Every ready server has named a time; the earliest one.
     AllClosed(Duration),
     /// The service has no ready server.
@@ -334,10 +335,10 @@
     let chosen = attempts.choose_server(
         &open.servers,
         |id| ejection.admits(id, now),
-        |servers| placement.choose_server(servers, req.prefix, fastrand::u64(..)),
+        |servers| placement.choose_server(servers, &req.prompt, fastrand::u64(..)),
     );
     match (chosen, open.opens_at) {
-        (Some(server), _) => Choice::Server(server),
+        (Some(placed), _) => Choice::Placed(placed),
         (None, Some(opens_at)) => Choice::AllClosed(opens_at),
         (None, None) => Choice::None,
     }
@@ -360,7 +361,7 @@
     gw: &Rc<core::Gateway>,
     caller: &mut conn::Conn,
     req: &Admitted,
-    server: &Arc<server::Server>,
+    placed: &placement::Placed,
     stream: &mut relay::EventStream,
     close: bool,
 ) -> AttemptOutcome {
@@ -368,7 +369,7 @@
     let left = req.time_left(started);
     let last_event = stream.last_id.clone();
     stream.meter.begin_send();
-    let sent = exchange::attempt(gw, &req.outgoing, server, left, last_event.as_deref()).await;
+    let sent = exchange::attempt(gw, &req.outgoing, placed, left, last_event.as_deref()).await;
     let not_run = match &sent {
         Ok(response) => headers::was_not_executed(&response.head),
         Err(failure) => matches!(failure, exchange::AttemptError::NotRun(_)),
--- a/tests/placing.rs
+++ b/tests/placing.rs
@@ -17,19 +17,28 @@
     (0..count).map(|number| Arc::new(server(number))).collect()
 }
 
+fn prompt(prefix: u64) -> placement::Prompt {
+    placement::Prompt {
+        prefix: Some(prefix),
+        shared_tokens: 400,
+        own_tokens: 100,
+    }
+}
+
 #[test]
 fn all_routers_choose_the_same_server_for_a_prefix() {
     let servers = servers(9);
     let mut others = servers.clone();
     others.reverse();
     for prefix in 0..200 {
+        let prompt = prompt(prefix);
         let here = placement::Placement::default()
-            .choose_server(&servers, Some(prefix), 1)
+            .choose_server(&servers, &prompt, 1)
             .unwrap();
         let there = placement::Placement::default()
-            .choose_server(&others, Some(prefix), 2)
+            .choose_server(&others, &prompt, 2)
             .unwrap();
-        assert_eq!(here.id, there.id);
+        assert_eq!(here, there);
     }
 }
 
@@ -42,10 +51,10 @@
         // Three of ten requests share one prefix.
         let prefix = if number % 10 < 3 { 1 } else { 1000 + number };
         let chosen = placement
-            .choose_server(&servers, Some(prefix), number)
+            .choose_server(&servers, &prompt(prefix), number)
             .unwrap();
-        placement.begin(&chosen.id);
-        *counts.entry(chosen.id.clone()).or_default() += 1;
+        placement.begin(&chosen.server.id, chosen.unread_tokens);
+        *counts.entry(chosen.server.id.clone()).or_default() += 1;
     }
     // An even distribution would be 20 requests per server.
     assert!(counts.values().all(|count| *count <= 31), "{counts:?}");
@@ -57,8 +66,9 @@
     let servers = servers(4);
     let mut placement = placement::Placement::default();
     for number in 0..40 {
-        let chosen = placement.choose_server(&servers, None, number).unwrap();
-        placement.begin(&chosen.id);
+        let prompt = placement::Prompt::default();
+        let chosen = placement.choose_server(&servers, &prompt, number).unwrap();
+        placement.begin(&chosen.server.id, chosen.unread_tokens);
     }
     assert!(
         servers
@@ -66,3 +76,23 @@
             .all(|server| placement.running(&server.id) == 10)
     );
 }
+
+#[test]
+fn a_server_that_has_read_its_prompts_is_as_good_as_before() {
+    let servers = servers(9);
+    let mut placement = placement::Placement::default();
+    let long = placement::Prompt {
+        own_tokens: 50_000,
+        ..prompt(7)
+    };
+    let first = placement.choose_server(&servers, &long, 0).unwrap();
+    placement.begin(&first.server.id, first.unread_tokens);
+    let other = placement.choose_server(&servers, &prompt(7), 0).unwrap();
+    assert_ne!(other.server.id, first.server.id, "it would wait");
+    assert_eq!(other.unread_tokens, 500, "it has not read the prefix");
+    placement.record_read(&first.server.id, first.unread_tokens);
+    let again = placement.choose_server(&servers, &prompt(7), 0).unwrap();
+    assert_eq!(again.server.id, first.server.id);
+    placement.end(&first.server.id);
+    assert_eq!(placement.running(&first.server.id), 0);
+}
