Weigh prefixes that are read again twice

Reading them again also delays whatever comes to that server next.

Change: a shared prefix costs twice its tokens at the other servers.

--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -19,6 +19,10 @@
 /// down every step of the engine, and holds one of its slots.
 const COST_OF_RUNNING: u64 = 200;
 
+/// Cost of a token that is read though another server has read it, in tokens to be read: it delays
+/// the request, and those that come to the same server after it.
+const COST_OF_READING_AGAIN: u64 = 2;
+
 /// What is known of a request's prompt.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Prompt {
@@ -83,8 +87,9 @@
         self.loads.get(id).map_or(0, |load| load.running)
     }
 
-    /// Chooses the server at which a request waits for the fewest tokens: those that the server has
-    /// still to read for this router, the request's own, and what running requests cost.
+    /// Chooses the server at which a request costs the fewest tokens: those that the server has still
+    /// to read for this router, what its running requests cost, and the shared prefix if the server
+    /// probably has to read that again.
     ///
     /// `tie` selects among servers with equal costs when the prompt has no shared prefix.
     ///
@@ -108,20 +113,20 @@
         let key = prompt.prefix.unwrap_or(tie);
         let rank = |server: &&Arc<server::Server>| rendezvous::weight(&server.id, key);
         let first = servers.iter().max_by_key(rank)?;
-        let unread_tokens = |server: &Arc<server::Server>| match server.id == first.id {
-            true => prompt.own_tokens,
-            false => prompt.own_tokens.saturating_add(prompt.shared_tokens),
+        let read_again = |server: &Arc<server::Server>| match server.id == first.id {
+            true => 0,
+            false => prompt.shared_tokens,
         };
         let cost = |server: &Arc<server::Server>| {
             let load = self.loads.get(&server.id).copied().unwrap_or_default();
             let waiting = load.unread_tokens + load.running * COST_OF_RUNNING;
-            waiting.saturating_add(unread_tokens(server))
+            waiting.saturating_add(read_again(server).saturating_mul(COST_OF_READING_AGAIN))
         };
         let by_cost = |server: &&Arc<server::Server>| (cost(server), !rank(server));
         let chosen = servers.iter().min_by_key(by_cost)?;
         Some(Placed {
             server: chosen.clone(),
-            unread_tokens: unread_tokens(chosen),
+            unread_tokens: prompt.own_tokens.saturating_add(read_again(chosen)),
         })
     }
 }
