Pass on the failure that a server answered with

Cause: when the last attempt allowed ended with a failure that the server had answered with, signed and whole, the gateway threw it away and answered 502 itself.

Change: the last such answer is kept, and passed on unchanged when no further attempt succeeds, also when the time runs out during one.

Result: the_last_failure_of_a_server_is_passed_on_unchanged fails without it.

--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -139,21 +139,42 @@
     let per_event = engine.map_or(1, |engine| engine.tokens_per_event);
     let meter = meter::TokenMeter::new(reservation, req.token_need.input, per_event);
     let mut stream = relay::EventStream::new(meter);
-    let work = run_attempts(gw, caller, &req, log, &mut stream, close);
-    if let Some(done) = gw.timers.within(limit, work).await {
-        return done;
+    let mut failure = None;
+    let work = run_attempts(gw, caller, &req, log, &mut stream, &mut failure, close);
+    let ended = match gw.timers.within(limit, work).await {
+        Some(ended) => ended,
+        None => Err(timeout_error(&mut stream)),
+    };
+    match (ended, failure) {
+        // The server's own answer says more than one from here would.
+        (Err(RequestError::Refuse(_)), Some(failure)) => {
+            counter!("fulmar_gateway_failures_relayed_total").increment(1);
+            if log.may_log_failure() {
+                let (id, status) = (&log.id, failure.head.status);
+                tracing::info!(
+                    id,
+                    status,
+                    "request: the last server's failure is passed on"
+                );
+            }
+            let sent = relay::send_response(caller, &failure.head, &failure.body, close).await;
+            sent.map_err(|err| RequestError::Aborted(err.to_string()))
+        }
+        (ended, _) => ended,
     }
+}
+
+/// Error for a request that has not ended when its route's timeout passes.
+fn timeout_error(stream: &mut relay::EventStream) -> RequestError {
+    const MESSAGE: &str = "the route's timeout passed";
     let may_have_run = stream.meter.may_have_run();
     stream.meter.record_send_result(may_have_run);
     if stream.is_started {
-        return Err(RequestError::Aborted(
-            "the route's timeout passed".to_owned(),
-        ));
+        return RequestError::Aborted(MESSAGE.to_owned());
     }
-    let message = "the route's timeout passed";
     match may_have_run {
-        true => Err(Refusal::new(Code::DeadlinePassed, message).into()),
-        false => Err(Refusal::new(Code::Overloaded, message).into()),
+        true => Refusal::new(Code::DeadlinePassed, MESSAGE).into(),
+        false => Refusal::new(Code::Overloaded, MESSAGE).into(),
     }
 }
 
@@ -202,14 +223,22 @@
     })
 }
 
+/// A server's whole answer that says that the request failed there.
+struct ServerFailure {
+    head: head::ResponseHead,
+    body: Vec<u8>,
+}
+
 /// Sends the request to one server after another until a response has been relayed or no further
-/// attempt is allowed.
+/// attempt is allowed. `failure` is set to the last failure that a server answered with, which has
+/// not been relayed.
 async fn run_attempts(
     gw: &Rc<core::Gateway>,
     caller: &mut conn::Conn,
     req: &Admitted,
     log: &request_log::RequestLog,
     stream: &mut relay::EventStream,
+    failure: &mut Option<ServerFailure>,
     close: bool,
 ) -> Result<(), RequestError> {
     let service = &req.service.name;
@@ -260,6 +289,11 @@
             AttemptOutcome::CallerGone(cause) => return Err(RequestError::Aborted(cause)),
             AttemptOutcome::NotRun(cause) => (cause, true),
             AttemptOutcome::Failed(cause) => (cause, false),
+            AttemptOutcome::ServerFailed(answer) => {
+                let status = answer.head.status;
+                *failure = Some(answer);
+                (format!("the server failed with status {status}"), false)
+            }
         };
         // A server that says when it can be used again needs no guess at that time.
         let opens_at = gw.announcements.borrow().opens_at(server, now);
@@ -354,6 +388,8 @@
     NotRun(String),
     /// The attempt failed and the request may have run.
     Failed(String),
+    /// The server ran the request and answered that it failed.
+    ServerFailed(ServerFailure),
 }
 
 /// Makes one attempt: sends the request to a server, checks the response and relays it.
@@ -433,10 +469,10 @@
     };
     let head = response.head.clone();
     response.recycle(gw);
-    // A server error is retried here if the route allows it. Otherwise the response is relayed, and
-    // retrying is up to the caller.
+    // A server error is retried here if the route allows it. When it can't be, the response is
+    // relayed, and retrying is up to the caller.
     if status >= 500 && req.route.kind.is_retryable() && req.route.max_attempts > 1 {
-        return AttemptOutcome::Failed(format!("the server failed with status {status}"));
+        return AttemptOutcome::ServerFailed(ServerFailure { head, body });
     }
     match relay::send_response(caller, &head, &body, close).await {
         Ok(()) => AttemptOutcome::Done,
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -3,7 +3,7 @@
 
 mod gateway_world;
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{cell::Cell, collections::BTreeMap, rc::Rc, time::Duration};
 
 use fulmarproxy::{
     coordination::draining,
@@ -247,6 +247,41 @@
     });
 }
 
+/// Guards against failures of servers that are replaced by one of the router's own.
+#[test]
+fn the_last_failure_of_a_server_is_passed_on_unchanged() {
+    run_test(&configuration(1, AMPLE_BUDGET, TIMEOUT_MS), async |env| {
+        let answer = |request: &_| scripted_server::signed_response(request, 500, "no such seat");
+        let first = env.start_server("plain", answer).await;
+        let second = env.start_server("plain", answer).await;
+        let response = env.send("GET", "/look/1", "", "").await;
+        assert_eq!(response.status, 500);
+        assert_eq!(response.body, b"no such seat");
+        assert!(response.headers.text("X-Response-Signature").is_some());
+        let sent = [&first, &second].map(|server| server.received.borrow().len());
+        assert_eq!(sent, [1, 1]);
+    });
+}
+
+/// A failure must not hide that a later attempt succeeded.
+#[test]
+fn a_failure_that_another_server_makes_good_is_not_passed_on() {
+    run_test(&configuration(1, AMPLE_BUDGET, TIMEOUT_MS), async |env| {
+        let sends = Rc::new(Cell::new(0));
+        for _ in 0..2 {
+            let sends = sends.clone();
+            let answer = move |request: &_| {
+                sends.set(sends.get() + 1);
+                let status = if sends.get() == 1 { 500 } else { 200 };
+                scripted_server::signed_response(request, status, "seat 7")
+            };
+            env.start_server("plain", answer).await;
+        }
+        let response = env.send("GET", "/look/1", "", "").await;
+        assert_eq!((response.status, sends.get()), (200, 2));
+    });
+}
+
 #[test]
 fn an_unsigned_response_is_an_error() {
     run_test(&configuration(1, AMPLE_BUDGET, TIMEOUT_MS), async |env| {
