Split forwarding and replenishing from requests and budgets

Change: gateway/forwarding.rs makes the attempts, gateway/replenishing.rs keeps the shares filled, gateway/era_notes.rs holds the notes about eras, and Announcements::record returns what was not known yet.

Result: no change of behaviour but the count; tests of gateway, announcements, rollback, tokens, signals, rollback_drill, layout and shares pass.

--- a/src/coordination/announcements.rs
+++ b/src/coordination/announcements.rs
@@ -50,7 +50,7 @@
 }
 
 impl Announcements {
-    /// Records what a response said about its server; returns whether anything changed.
+    /// Records what a response said about its server; returns what of it was not known yet.
     ///
     /// ```
     /// use std::{sync::Arc, time::Duration};
@@ -61,7 +61,8 @@
     /// };
     /// let mut said = Announcements::default();
     /// let leaving = Announcement { is_leaving: true, retry_after: None };
-    /// assert!(said.record(&server, leaving, Duration::ZERO));
+    /// assert_eq!(said.record(&server, leaving, Duration::ZERO), leaving);
+    /// assert_eq!(said.record(&server, leaving, Duration::ZERO), Announcement::default());
     /// assert!(!said.admits(&server, Duration::from_secs(60)));
     /// let restarted = server::Server { started_unix_ms: 9, ..server };
     /// assert!(said.admits(&restarted, Duration::from_secs(60)));
@@ -71,22 +72,24 @@
         server: &server::Server,
         announcement: Announcement,
         now: Duration,
-    ) -> bool {
-        let mut changed = false;
+    ) -> Announcement {
+        let mut news = Announcement::default();
         if announcement.is_leaving {
             let until = now + LEAVING_TTL;
-            changed |= self.leaving.insert(process(server), until).is_none();
+            news.is_leaving = self.leaving.insert(process(server), until).is_none();
         }
         if let Some(after) = announcement.retry_after {
             let until = now + after;
             // The newest answer counts, also when it names an earlier time.
-            changed |= self.closed_until.insert(process(server), until) != Some(until);
+            if self.closed_until.insert(process(server), until) != Some(until) {
+                news.retry_after = Some(after);
+            }
         }
         if self.leaving.len() + self.closed_until.len() > PRUNE_THRESHOLD {
             self.leaving.retain(|_, until| now < *until);
             self.closed_until.retain(|_, until| now < *until);
         }
-        changed
+        news
     }
 
     /// Whether a server is known to be leaving.
--- a/src/coordination/ledger_plan.rs
+++ b/src/coordination/ledger_plan.rs
@@ -225,9 +225,7 @@
 /// A young entry stays open with what is left of it: a copy may name neither it nor its closing.
 pub fn close(stored: Option<ShareLedger>, context: &Context<'_>) -> Option<ShareLedger> {
     let mut ledger = stored.unwrap_or_default();
-    if let Some(remembered) = context.remembered {
-        merge(&mut ledger, remembered);
-    }
+    add_remembered(&mut ledger, context);
     if ledger.is_closed(context.holder) {
         return None;
     }
@@ -264,6 +262,12 @@
     });
 }
 
+fn add_remembered(ledger: &mut ShareLedger, context: &Context<'_>) {
+    if let Some(remembered) = context.remembered {
+        merge(ledger, remembered);
+    }
+}
+
 /// Writes into the ledger what this router knows: its own account, and what it remembers.
 fn add_own(ledger: &mut ShareLedger, context: &Context<'_>) {
     let before = ledger.granted();
@@ -271,9 +275,7 @@
         .holders
         .get(context.holder)
         .map_or(0, |held| held.era);
-    if let Some(remembered) = context.remembered {
-        merge(ledger, remembered);
-    }
+    add_remembered(ledger, context);
     if context.era > 0 {
         for (holder, held) in &mut ledger.holders {
             let key = (context.workspace.clone(), holder.clone());
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -2,8 +2,8 @@
 //!
 //! The platform's store holds the configuration, the list of backend servers and the ledgers of
 //! budgets. The main modules, each of which uses only those listed after it, are [`front`],
-//! [`request`], [`admission`], [`request_log`], [`relay`], [`exchange`], [`meter`], [`budget`],
-//! [`ledger`], [`peer_rpc`], [`config_sync`], [`directory`], [`fleet`] and [`core`].
+//! [`request`], [`admission`], [`forwarding`], [`request_log`], [`relay`], [`exchange`], [`meter`],
+//! [`replenishing`], [`budget`], [`ledger`], [`peer_rpc`], [`config_sync`], [`directory`], [`fleet`] and [`core`].
 
 use std::rc::Rc;
 
@@ -17,8 +17,10 @@
 pub mod config_sync;
 pub mod core;
 pub mod directory;
+pub mod era_notes;
 pub mod exchange;
 pub mod fleet;
+pub mod forwarding;
 pub mod front;
 pub mod ledger;
 pub mod meter;
@@ -26,6 +28,7 @@
 pub mod peer_rpc;
 pub mod refusal;
 pub mod relay;
+pub mod replenishing;
 pub mod request;
 pub mod request_log;
 pub mod rollback;
@@ -58,6 +61,7 @@
     let front = listener.local_addr()?;
     let (ready, admin) = pages::start(&gw, recorder).await?;
     let fleet = budget::start(&gw).await?;
+    replenishing::start(&gw);
     config_sync::start(&gw);
     directory::start(&gw);
     fleet::start(&gw, fleet);
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -11,19 +11,12 @@
 use metrics::counter;
 
 use crate::{
-    coordination::{ledger_plan, rendezvous, share},
+    coordination::{rendezvous, share},
     error,
     gateway::{core, ledger, peer_rpc},
-    platform::store,
     state::name,
 };
 
-/// Interval at which the shares are checked and replenished.
-const SHARE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
-
-/// Further delay before the next check when the store failed.
-const FILL_RETRY_DELAY: Duration = Duration::from_millis(500);
-
 /// Maximum time that a request waits for tokens. It covers a draw from the home, during which the
 /// home may fill its share from the ledger and recall tokens from the other routers.
 const RESERVE_TIMEOUT: Duration = Duration::from_millis(700);
@@ -121,13 +114,15 @@
 
 /// A router that can be the home of a budget.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Candidate {
+pub enum Candidate {
+    /// This router.
     Local,
+    /// Another one, with the address of its fleet listener.
     Peer(SocketAddr),
 }
 
 /// All routers, ranked: the first responsive one is the budget's home.
-fn home_candidates(gw: &core::Gateway, workspace: &str) -> Vec<Candidate> {
+pub fn home_candidates(gw: &core::Gateway, workspace: &str) -> Vec<Candidate> {
     let hash = rendezvous::weight(workspace, 0);
     let own = gw.holder();
     let peers = gw.peers.borrow();
@@ -169,7 +164,9 @@
     AcquireOutcome::Unavailable
 }
 
-async fn draw_from_peer(
+/// Draws tokens from another router: `needed` at once, and some ahead of demand. `None` when it did
+/// not answer; `request` is the id of the request that waits.
+pub async fn draw_from_peer(
     gw: &Rc<core::Gateway>,
     peer: SocketAddr,
     workspace: &name::Name,
@@ -276,7 +273,12 @@
 
 /// Whether a budget was lately found exhausted: `None` when it was not, otherwise whether that is
 /// certain.
-fn known_exhausted(gw: &core::Gateway, workspace: &str, prepaid: u64, needed: u64) -> Option<bool> {
+pub fn known_exhausted(
+    gw: &core::Gateway,
+    workspace: &str,
+    prepaid: u64,
+    needed: u64,
+) -> Option<bool> {
     let known = gw.exhausted_budgets.borrow();
     let known = known.get(workspace)?;
     let refuses = known.still_refuses(prepaid, needed, gw.now());
@@ -299,7 +301,8 @@
     given.iter().flatten().count() == listed
 }
 
-fn prepaid_tokens(gw: &core::Gateway, workspace: &str) -> Option<u64> {
+/// Prepaid total of a workspace; `None` when it has no budget.
+pub fn prepaid_tokens(gw: &core::Gateway, workspace: &str) -> Option<u64> {
     let deployment = gw.deployment()?;
     deployment.workspaces.get(workspace)?.prepaid_tokens
 }
@@ -350,8 +353,7 @@
     })
 }
 
-/// Starts to serve calls of other routers and to replenish the shares. Returns the address of the
-/// fleet listener.
+/// Starts to serve calls of other routers. Returns the address of the fleet listener.
 ///
 /// # Errors
 ///
@@ -360,138 +362,5 @@
     let listener = async_net::TcpListener::bind(gw.settings().fleet_listen).await?;
     let address = listener.local_addr()?;
     gw.spawn(peer_rpc::serve(gw.clone(), listener, handle_call));
-    let filling = gw.clone();
-    gw.spawn(async move {
-        loop {
-            filling.timers.sleep(SHARE_CHECK_INTERVAL).await;
-            replenish_shares(&filling).await;
-        }
-    });
     Ok(address)
 }
-
-/// Fills the reserves of the budgets whose home is this router from the ledgers, and draws tokens
-/// of the other budgets from their homes.
-async fn replenish_shares(gw: &Rc<core::Gateway>) {
-    let Some(deployment) = gw.deployment() else {
-        return;
-    };
-    let mut fills = Vec::new();
-    for workspace in deployment.workspaces.values() {
-        let Some(prepaid) = workspace.prepaid_tokens else {
-            continue;
-        };
-        let name = &workspace.name;
-        let first = home_candidates(gw, name)
-            .into_iter()
-            .find(|home| match home {
-                Candidate::Local => true,
-                Candidate::Peer(peer) => peer_rpc::is_responsive(gw, *peer),
-            });
-        let share = gw.shares.borrow().get(name).cloned().unwrap_or_default();
-        let now = gw.now();
-        match first {
-            Some(Candidate::Peer(peer)) => {
-                return_surplus(gw, peer, name);
-                let extra = share.draw_size(now);
-                if extra > 0 && known_exhausted(gw, name, prepaid, 0).is_none() {
-                    draw_from_peer(gw, peer, name, 0, None).await;
-                }
-            }
-            _ if share.refill_size(prepaid, u64::MAX, 0, now) > 0 => fills.push(ledger::Fill {
-                workspace: name.clone(),
-                prepaid,
-                needed: 0,
-            }),
-            _ => (),
-        }
-    }
-    if fills.is_empty() {
-        return;
-    }
-    // A budget whose lock is taken is being filled already.
-    let mut guards = Vec::new();
-    fills.retain(|fill| {
-        let guard = gw.budget_lock(&fill.workspace).try_lock_arc();
-        let is_locked = guard.is_some();
-        guards.extend(guard);
-        is_locked
-    });
-    if fills.is_empty() || gw.account_closed.get() {
-        return;
-    }
-    if let Err(err) = ledger::fill(gw, &fills).await {
-        counter!("fulmar_gateway_store_failures_total", "part" => "budget").increment(1);
-        tracing::warn!(%err, "budget: failed to fill shares from the ledgers");
-        drop(guards);
-        gw.timers.sleep(FILL_RETRY_DELAY).await;
-    }
-}
-
-/// Gives tokens that this router does not need back to the budget's home. They leave the share
-/// before the call, and are lost when the home does not receive it.
-fn return_surplus(gw: &Rc<core::Gateway>, home: SocketAddr, workspace: &name::Name) {
-    let now = gw.now();
-    let mut shares = gw.shares.borrow_mut();
-    let tokens = shares
-        .get_mut(workspace)
-        .map_or(0, |share| share.take_surplus(now));
-    drop(shares);
-    if tokens == 0 {
-        return;
-    }
-    let (calling, workspace) = (gw.clone(), workspace.clone());
-    gw.spawn(async move {
-        let call = peer_rpc::Call::Return {
-            workspace: workspace.clone(),
-            tokens,
-        };
-        if peer_rpc::call(&calling, home, call).await.is_none() {
-            counter!("fulmar_gateway_tokens_lost_total").increment(tokens);
-            tracing::info!(%home, %workspace, tokens, "budget: tokens given back were lost");
-        }
-    });
-}
-
-/// Writes this router's accounts into all ledgers that have granted it tokens or that it remembers
-/// from before the store's era. Returns whether all of them are settled.
-///
-/// # Errors
-///
-/// [`store::StoreError`] when the store refuses a write or does not answer.
-pub async fn write_accounts(gw: &Rc<core::Gateway>) -> Result<bool, store::StoreError> {
-    let mut workspaces: Vec<name::Name> = {
-        let shares = gw.shares.borrow();
-        let granted = shares.iter().filter(|(_, share)| share.granted() != 0);
-        let remembered = gw.remembered_ledgers.borrow();
-        granted
-            .map(|(workspace, _)| workspace)
-            .chain(remembered.keys())
-            .cloned()
-            .collect()
-    };
-    workspaces.sort();
-    workspaces.dedup();
-    let mut is_settled = true;
-    for batch in workspaces.chunks(ledger::MAX_WORKSPACES_PER_WRITE) {
-        let mut guards = Vec::new();
-        for workspace in batch {
-            guards.push(gw.budget_lock(workspace).lock_arc().await);
-        }
-        if gw.account_closed.get() {
-            return Ok(true);
-        }
-        let fills: Vec<ledger::Fill> = batch
-            .iter()
-            .map(|workspace| ledger::Fill {
-                workspace: workspace.clone(),
-                prepaid: prepaid_tokens(gw, workspace).unwrap_or(0),
-                needed: 0,
-            })
-            .collect();
-        let holds = ledger::rewrite(gw, &fills).await?;
-        let unsettled = |(_, hold): &(_, ledger_plan::Hold)| *hold == ledger_plan::Hold::Unsettled;
-        is_settled &= !holds.iter().any(unsettled);
-    }
-    Ok(is_settled)
-}
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -14,11 +14,12 @@
 
 use crate::{
     coordination::{
-        announcements, draining, ejection, expired_entries, ledger_plan, log_sampling, placement,
-        presence, retry_window, share, store_route,
+        announcements, draining, ejection, expired_entries, log_sampling, placement, presence,
+        retry_window, share, store_route,
     },
+    gateway::era_notes,
     platform,
-    state::{deployment, name, server, share_ledger},
+    state::{deployment, name, server},
     transport::{h1::connection_pool, timers},
 };
 
@@ -100,21 +101,8 @@
     pub draining: Cell<Option<draining::Draining>>,
     /// Ledgers of budgets as last read from or written to the store, by workspace.
     pub ledgers: RefCell<HashMap<name::Name, platform::store::Item>>,
-    /// What is remembered of ledgers from before the store's era, by workspace, until it has been
-    /// written in that era.
-    pub remembered_ledgers: RefCell<HashMap<name::Name, share_ledger::ShareLedger>>,
-    /// When parts of ledgers were first seen in the store's era.
-    pub ledger_sightings: RefCell<ledger_plan::Sightings>,
-    /// Era of the store in which the list of backend servers was read.
-    pub directory_era: Cell<u64>,
-    /// Era of the store whose beginning has been noted.
-    pub noted_era: Cell<u64>,
-    /// Era whose marker is known to be in the store.
-    pub marked_era: Cell<u64>,
-    /// First era that this process noted.
-    pub first_era: Cell<Option<u64>>,
-    /// Time at which the store's era was noted.
-    pub era_seen_at: Cell<Duration>,
+    /// What is noted about the eras of the store.
+    pub era_notes: era_notes::EraNotes,
     /// Which routers were in the list of members, and when this one was.
     pub presence: RefCell<presence::Presence>,
     /// By workspace: held while its tokens are acquired from or returned to the ledger, so that one
@@ -170,13 +158,7 @@
             in_flight: Cell::new(0),
             draining: Cell::new(None),
             ledgers: RefCell::default(),
-            remembered_ledgers: RefCell::default(),
-            ledger_sightings: RefCell::default(),
-            directory_era: Cell::default(),
-            noted_era: Cell::default(),
-            marked_era: Cell::default(),
-            first_era: Cell::default(),
-            era_seen_at: Cell::default(),
+            era_notes: era_notes::EraNotes::default(),
             presence: RefCell::default(),
             budget_locks: RefCell::default(),
             account_closed: Cell::new(false),
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -47,10 +47,10 @@
 /// changes and the list must be read again. `was_unreachable` tells whether the last store call
 /// failed.
 async fn sync(gw: &Rc<core::Gateway>, was_unreachable: &mut bool) -> Result<(), store::StoreError> {
-    let known_era = gw.directory_era.get();
+    let known_era = gw.era_notes.directory.get();
     let read = gw.store.range(servers::PREFIX, false).await?;
     let era = gw.store.era();
-    gw.directory_era.set(era);
+    gw.era_notes.directory.set(era);
     let mut grace_until = match std::mem::take(was_unreachable) {
         true => gw.now() + RELIST_TIME,
         false => Duration::ZERO,
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -161,14 +161,14 @@
     if said == announcements::Announcement::default() {
         return;
     }
-    let changed = gw.announcements.borrow_mut().record(server, said, gw.now());
-    if said.is_leaving && changed {
+    let news = gw.announcements.borrow_mut().record(server, said, gw.now());
+    if news.is_leaving {
         // Kept connections to a leaving server are of no further use.
         gw.connection_pool.borrow_mut().close_all(server.address);
         counter!("fulmar_gateway_announcements_total", "kind" => "leaving").increment(1);
         tracing::info!(server = %server.id, "directory: backend server says that it is leaving");
     }
-    if let Some(after) = said.retry_after {
+    if let Some(after) = news.retry_after {
         let closed_ms = after.as_millis() as u64;
         counter!("fulmar_gateway_announcements_total", "kind" => "retry_after").increment(1);
         tracing::info!(server = %server.id, closed_ms, "directory: backend server named a time");
--- a/src/gateway/ledger.rs
+++ b/src/gateway/ledger.rs
@@ -203,7 +203,7 @@
     if let Some(workspace) = item.key.strip_prefix(PREFIX) {
         let workspace = name::Name::from(workspace);
         if let Some(ledger) = decode(&item) {
-            let mut sightings = gw.ledger_sightings.borrow_mut();
+            let mut sightings = gw.era_notes.ledger_sightings.borrow_mut();
             sightings.note(&workspace, &ledger, gw.now());
         }
         gw.ledgers.borrow_mut().insert(workspace, item);
@@ -221,7 +221,7 @@
     let now = gw.now();
     let shares = gw.shares.borrow();
     let share = shares.get(workspace).cloned().unwrap_or_default();
-    let remembered = gw.remembered_ledgers.borrow();
+    let remembered = gw.era_notes.remembered_ledgers.borrow();
     let was_absent = |holder: &str| rollback::was_absent(gw, holder);
     let context = ledger_plan::Context {
         workspace,
@@ -238,9 +238,9 @@
         is_new_fleet: rollback::is_new_fleet(gw),
         was_absent: &was_absent,
         is_returning: gw.presence.borrow().is_returning(now),
-        has_waited: now >= gw.era_seen_at.get() + ledger_plan::REPORT_TIME,
+        has_waited: now >= gw.era_notes.seen_at.get() + ledger_plan::REPORT_TIME,
         remembered: remembered.get(workspace),
-        sightings: &gw.ledger_sightings.borrow(),
+        sightings: &gw.era_notes.ledger_sightings.borrow(),
         now,
     };
     let ledgers = gw.ledgers.borrow();
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -1,22 +1,23 @@
-//! Handles one request: admission, reservation of tokens, choice of a server, attempts, response.
+//! Handles one request: admission, reservation of tokens, forwarding, and the answer when that fails.
 
-use std::{rc::Rc, time::Duration};
+use std::rc::Rc;
 
 use futures::future;
 use metrics::{counter, histogram};
 
 use crate::{
     code::Code,
-    coordination::{attempts, placement},
     gateway::{
         admission::{self, Admitted, UNAVAILABLE_RETRY_AFTER},
-        budget, core, directory, exchange, meter,
+        budget, core,
+        forwarding::{self, RequestError},
+        meter,
         refusal::Refusal,
         relay, request_log,
     },
     platform::headers,
     state::name,
-    transport::h1::{conn, fault, head},
+    transport::h1::{conn, head},
 };
 
 /// What happens to the caller's connection after a request.
@@ -103,21 +104,6 @@
     gw.is_draining() || !head.is_1_1 || head.headers.has_token("Connection", "close")
 }
 
-/// Why no complete response of a server was relayed.
-enum RequestError {
-    /// The gateway responds itself.
-    Refuse(Refusal),
-    /// A part of the response may have been sent. Closing the connection is the only way to tell
-    /// the caller that the response is incomplete.
-    Aborted(String),
-}
-
-impl From<Refusal> for RequestError {
-    fn from(refusal: Refusal) -> Self {
-        Self::Refuse(refusal)
-    }
-}
-
 async fn respond(
     gw: &Rc<core::Gateway>,
     caller: &mut conn::Conn,
@@ -140,7 +126,7 @@
     let meter = meter::TokenMeter::new(reservation, req.token_need.input, per_event);
     let mut stream = relay::EventStream::new(meter);
     let mut failure = None;
-    let work = run_attempts(gw, caller, &req, log, &mut stream, &mut failure, close);
+    let work = forwarding::run_attempts(gw, caller, &req, log, &mut stream, &mut failure, close);
     let ended = match gw.timers.within(limit, work).await {
         Some(ended) => ended,
         None => Err(timeout_error(&mut stream)),
@@ -222,264 +208,3 @@
         }
     })
 }
-
-/// A server's whole answer that says that the request failed there.
-struct ServerFailure {
-    head: head::ResponseHead,
-    body: Vec<u8>,
-}
-
-/// Sends the request to one server after another until a response has been relayed or no further
-/// attempt is allowed. `failure` is set to the last failure that a server answered with, which has
-/// not been relayed.
-async fn run_attempts(
-    gw: &Rc<core::Gateway>,
-    caller: &mut conn::Conn,
-    req: &Admitted,
-    log: &request_log::RequestLog,
-    stream: &mut relay::EventStream,
-    failure: &mut Option<ServerFailure>,
-    close: bool,
-) -> Result<(), RequestError> {
-    let service = &req.service.name;
-    gw.retry_windows
-        .borrow_mut()
-        .count_request(service, gw.now());
-    let mut attempts = attempts::Attempts::new(attempts::Limits {
-        max_runs: req.route.max_attempts,
-        is_retryable: req.route.kind.is_retryable(),
-    });
-    loop {
-        if attempts.count() > 0 && !take_retry(gw, service) {
-            return Err(final_error(
-                stream,
-                "the repeats of the service are used up",
-            ));
-        }
-        let placed = match choose_server(gw, req, &attempts) {
-            Choice::Placed(placed) => placed,
-            Choice::AllClosed(opens_at) => return Err(closed_error(gw, stream, opens_at)),
-            Choice::None => return Err(final_error(stream, "no backend server is available")),
-        };
-        // A process that was held up may find both the close and the next step ready at once.
-        if caller.is_closed() {
-            let cause = "the caller disconnected before the request was sent";
-            return Err(RequestError::Aborted(cause.to_owned()));
-        }
-        if req.time_left(gw.now()).is_zero() {
-            return Err(final_error(stream, "the deadline has passed"));
-        }
-        let server = &placed.server;
-        attempts.record_send(&server.id);
-        if log.is_sampled() {
-            let running = gw.placement.borrow().running(&server.id);
-            let (id, left) = (&log.id, req.time_left(gw.now()).as_millis() as u64);
-            tracing::info!(id, server = %server.id, running, left, "request: sent");
-        }
-        let started = gw.now();
-        let end = try_server(gw, caller, req, &placed, stream, close).await;
-        let now = gw.now();
-        let (cause, not_run) = match end {
-            AttemptOutcome::Done => {
-                let took = gw.now().saturating_sub(started);
-                histogram!("fulmar_gateway_server_seconds").record(took.as_secs_f64());
-                gw.ejection.borrow_mut().record_success(&server.id);
-                return Ok(());
-            }
-            AttemptOutcome::CallerGone(cause) => return Err(RequestError::Aborted(cause)),
-            AttemptOutcome::NotRun(cause) => (cause, true),
-            AttemptOutcome::Failed(cause) => (cause, false),
-            AttemptOutcome::ServerFailed(answer) => {
-                let status = answer.head.status;
-                *failure = Some(answer);
-                (format!("the server failed with status {status}"), false)
-            }
-        };
-        // A server that says when it can be used again needs no guess at that time.
-        let opens_at = gw.announcements.borrow().opens_at(server, now);
-        if opens_at.is_none() {
-            gw.ejection.borrow_mut().record_failure(&server.id, now);
-        }
-        if log.may_log_failure() {
-            let (id, sends, server) = (&log.id, attempts.count(), &server.id);
-            tracing::info!(id, %server, sends, not_run, cause, "request: attempt failed");
-        }
-        let allowed = attempts.record_failure(not_run, stream.meter.may_have_run());
-        if !allowed || req.time_left(now).is_zero() {
-            return Err(match opens_at {
-                Some(opens_at) => closed_error(gw, stream, opens_at),
-                None => final_error(stream, &cause),
-            });
-        }
-        counter!("fulmar_gateway_repeats_total").increment(1);
-    }
-}
-
-/// Takes one of the retries that are left to the service; false when there is none.
-fn take_retry(gw: &core::Gateway, service: &name::Name) -> bool {
-    let mut retry_windows = gw.retry_windows.borrow_mut();
-    retry_windows.take_retry(service, gw.retry_allowance(), gw.router_count(), gw.now())
-}
-
-/// Error for a request that is not retried any more: a refusal or, if a part of a stream has been
-/// relayed, an aborted response.
-fn final_error(stream: &relay::EventStream, cause: &str) -> RequestError {
-    if stream.is_started {
-        return RequestError::Aborted(cause.to_owned());
-    }
-    let refusal = match stream.meter.may_have_run() {
-        true => Refusal::new(Code::BackendFailed, cause),
-        false => Refusal::new(Code::NoBackend, cause).retry_after(UNAVAILABLE_RETRY_AFTER),
-    };
-    refusal.into()
-}
-
-/// Error for a request when the servers that it could use have named a time, the earliest of which
-/// is `opens_at`.
-fn closed_error(
-    gw: &core::Gateway,
-    stream: &relay::EventStream,
-    opens_at: Duration,
-) -> RequestError {
-    let message = "the backend servers take no requests for now";
-    if stream.is_started || stream.meter.may_have_run() {
-        return final_error(stream, message);
-    }
-    let after = opens_at.saturating_sub(gw.now());
-    Refusal::new(Code::BackendsClosed, message)
-        .retry_after(after)
-        .into()
-}
-
-/// Where the next attempt at a request goes.
-enum Choice {
-    Placed(placement::Placed),
-    /// Every ready server has named a time; the earliest one.
-    AllClosed(Duration),
-    /// The service has no ready server.
-    None,
-}
-
-/// Chooses the server for the next attempt.
-fn choose_server(gw: &core::Gateway, req: &Admitted, attempts: &attempts::Attempts) -> Choice {
-    let ready = directory::ready_servers(gw, &req.service.name);
-    let now = gw.now();
-    let open = gw.announcements.borrow().open(&ready, now);
-    let (ejection, placement) = (gw.ejection.borrow(), gw.placement.borrow());
-    let chosen = attempts.choose_server(
-        &open.servers,
-        |id| ejection.admits(id, now),
-        |servers| placement.choose_server(servers, &req.prompt, fastrand::u64(..)),
-    );
-    match (chosen, open.opens_at) {
-        (Some(placed), _) => Choice::Placed(placed),
-        (None, Some(opens_at)) => Choice::AllClosed(opens_at),
-        (None, None) => Choice::None,
-    }
-}
-
-/// How one attempt ended; the texts are causes.
-enum AttemptOutcome {
-    /// The whole response was relayed.
-    Done,
-    /// Writing to the caller failed.
-    CallerGone(String),
-    /// The attempt failed and the request certainly did not run.
-    NotRun(String),
-    /// The attempt failed and the request may have run.
-    Failed(String),
-    /// The server ran the request and answered that it failed.
-    ServerFailed(ServerFailure),
-}
-
-/// Makes one attempt: sends the request to a server, checks the response and relays it.
-async fn try_server(
-    gw: &Rc<core::Gateway>,
-    caller: &mut conn::Conn,
-    req: &Admitted,
-    placed: &placement::Placed,
-    stream: &mut relay::EventStream,
-    close: bool,
-) -> AttemptOutcome {
-    let started = gw.now();
-    let left = req.time_left(started);
-    let last_event = stream.last_id.clone();
-    stream.meter.begin_send();
-    let sent = exchange::attempt(gw, &req.outgoing, placed, left, last_event.as_deref()).await;
-    let not_run = match &sent {
-        Ok(response) => headers::was_not_executed(&response.head),
-        Err(failure) => matches!(failure, exchange::AttemptError::NotRun(_)),
-    };
-    stream.meter.record_send_result(!not_run);
-    let mut response = match sent {
-        Ok(response) => response,
-        Err(exchange::AttemptError::NotRun(cause)) => return AttemptOutcome::NotRun(cause),
-        Err(exchange::AttemptError::MayHaveRun(cause)) => return AttemptOutcome::Failed(cause),
-    };
-    let waited = gw.now().saturating_sub(started);
-    histogram!("fulmar_gateway_first_byte_seconds").record(waited.as_secs_f64());
-    let status = response.head.status;
-    if not_run {
-        let drained = relay::read_body(&mut response).await;
-        if drained.is_ok() {
-            response.recycle(gw);
-        }
-        return AttemptOutcome::NotRun(format!("the server turned it away with status {status}"));
-    }
-    if !headers::is_signed(&response.head) {
-        return AttemptOutcome::Failed(format!("an unsigned answer with status {status}"));
-    }
-    if status == 200 && req.route.kind.is_stream() {
-        return relay_stream(gw, caller, response, stream, close).await;
-    }
-    if stream.is_started {
-        return AttemptOutcome::Failed(format!("status {status} instead of the rest of a stream"));
-    }
-    relay_response(gw, caller, req, response, close).await
-}
-
-async fn relay_stream(
-    gw: &Rc<core::Gateway>,
-    caller: &mut conn::Conn,
-    mut response: exchange::Response,
-    stream: &mut relay::EventStream,
-    close: bool,
-) -> AttemptOutcome {
-    match stream.relay(caller, &mut response, close).await {
-        Ok(()) => {
-            response.recycle(gw);
-            AttemptOutcome::Done
-        }
-        Err(relay::RelayError::Caller(err)) => AttemptOutcome::CallerGone(err.to_string()),
-        Err(relay::RelayError::Server(err)) => AttemptOutcome::Failed(format!("broken off: {err}")),
-    }
-}
-
-async fn relay_response(
-    gw: &Rc<core::Gateway>,
-    caller: &mut conn::Conn,
-    req: &Admitted,
-    mut response: exchange::Response,
-    close: bool,
-) -> AttemptOutcome {
-    let status = response.head.status;
-    let body = match relay::read_body(&mut response).await {
-        Ok(body) => body,
-        Err(err) => return AttemptOutcome::Failed(truncation_message(&err)),
-    };
-    let head = response.head.clone();
-    response.recycle(gw);
-    // A server error is retried here if the route allows it. When it can't be, the response is
-    // relayed, and retrying is up to the caller.
-    if status >= 500 && req.route.kind.is_retryable() && req.route.max_attempts > 1 {
-        return AttemptOutcome::ServerFailed(ServerFailure { head, body });
-    }
-    match relay::send_response(caller, &head, &body, close).await {
-        Ok(()) => AttemptOutcome::Done,
-        Err(err) => AttemptOutcome::CallerGone(err.to_string()),
-    }
-}
-
-fn truncation_message(err: &fault::Fault) -> String {
-    format!("the answer was cut short: {err}")
-}
--- a/src/gateway/rollback.rs
+++ b/src/gateway/rollback.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     coordination::ledger_plan,
-    gateway::{budget, core, ledger},
+    gateway::{core, ledger, replenishing},
     platform::store,
     state::{name, share_ledger},
 };
@@ -38,7 +38,7 @@
 pub async fn begin_era(gw: &core::Gateway) -> Result<(), store::StoreError> {
     let era = gw.store.era();
     note_era(gw, era);
-    if era == 0 || gw.marked_era.get() == era {
+    if era == 0 || gw.era_notes.marked.get() == era {
         return Ok(());
     }
     let first = era.saturating_sub(MARKERS_WRITTEN - 1).max(1);
@@ -51,25 +51,25 @@
     };
     // A conflict means that another router has written the marker.
     gw.store.write(&write).await?;
-    gw.marked_era.set(era);
+    gw.era_notes.marked.set(era);
     Ok(())
 }
 
 /// Turns what is known of the ledgers into a memory when an era has begun.
 fn note_era(gw: &core::Gateway, era: u64) {
-    let known = gw.noted_era.replace(era);
+    let known = gw.era_notes.noted.replace(era);
     if known == era {
         return;
     }
-    if gw.first_era.get().is_none() {
-        gw.first_era.set(Some(era));
+    if gw.era_notes.first.get().is_none() {
+        gw.era_notes.first.set(Some(era));
     }
-    gw.era_seen_at.set(gw.now());
-    gw.ledger_sightings.borrow_mut().clear();
+    gw.era_notes.seen_at.set(gw.now());
+    gw.era_notes.ledger_sightings.borrow_mut().clear();
     gw.exhausted_budgets.borrow_mut().clear();
     let ledgers = std::mem::take(&mut *gw.ledgers.borrow_mut());
     let count = ledgers.len();
-    let mut remembered = gw.remembered_ledgers.borrow_mut();
+    let mut remembered = gw.era_notes.remembered_ledgers.borrow_mut();
     for (workspace, item) in ledgers.iter().filter(|(_, item)| item.revision > 0) {
         let Some(ledger) = ledger::decode(item) else {
             continue;
@@ -105,7 +105,11 @@
     workspace: &name::Name,
     written: &share_ledger::ShareLedger,
 ) {
-    let remembered = gw.remembered_ledgers.borrow_mut().remove(workspace);
+    let remembered = gw
+        .era_notes
+        .remembered_ledgers
+        .borrow_mut()
+        .remove(workspace);
     if remembered.is_none() || written.era == 0 {
         return;
     }
@@ -128,13 +132,13 @@
 /// Whether the whole system started for the first time with this process, and the store has not
 /// come back from a copy since.
 pub fn is_new_fleet(gw: &core::Gateway) -> bool {
-    gw.settings().is_first_start && gw.first_era.get() == Some(gw.store.era())
+    gw.settings().is_first_start && gw.era_notes.first.get() == Some(gw.store.era())
 }
 
 /// Whether a holder was missing from the list of members long before the store's era began.
 pub fn was_absent(gw: &core::Gateway, holder: &str) -> bool {
     let presence = gw.presence.borrow();
-    presence.was_absent(holder, gw.era_seen_at.get())
+    presence.was_absent(holder, gw.era_notes.seen_at.get())
 }
 
 /// Starts the task that writes this router's accounts again when an era has begun.
@@ -147,7 +151,7 @@
             let era = following.store.era();
             note_era(&following, era);
             while following.store.era() == era {
-                match budget::write_accounts(&following).await {
+                match replenishing::write_accounts(&following).await {
                     Ok(true) => break,
                     Ok(false) => following.timers.sleep(RETRY_DELAY).await,
                     Err(err) => {
--- a/tests/gateway_world/mod.rs
+++ b/tests/gateway_world/mod.rs
@@ -6,7 +6,7 @@
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use fulmarproxy::{
-    gateway::{budget, config_sync, core, directory, front, rollback},
+    gateway::{budget, config_sync, core, directory, front, replenishing, rollback},
     platform::settings,
     standin::{platform_store, scripted_server},
     transport::{
@@ -116,6 +116,7 @@
     directory::start(&gw);
     rollback::start(&gw);
     let fleet = budget::start(&gw).await.unwrap();
+    replenishing::start(&gw);
     front::start(&gw, listener);
     (gw, front, fleet)
 }
