Look a server's load up only with the first piece of an answer

Cause: each piece of a stream looked its server up among the loads, though only the first one ends the reading of the prompt.

Result: tests of gateway and placing pass.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -83,7 +83,9 @@
     /// Records that the server has read the prompt.
     fn record_read(&self) {
         let tokens = self.unread_tokens.take();
-        self.gw.placement.borrow_mut().record_read(&self.id, tokens);
+        if tokens > 0 {
+            self.gw.placement.borrow_mut().record_read(&self.id, tokens);
+        }
     }
 }
 
