Ask a budget's home once for all requests that wait

Cause: each request without tokens drew for itself, with a connection of its own and half a second of demand ahead.

Change: one request at a time acquires tokens of a workspace, and asks for those that the others wait for besides its own (coordination::waiting); requests that have ended ask no more; a request asks three routers in vain at most.

Result: requests_that_wait_for_tokens_ask_the_home_once, 40 calls before and one after.

--- a/src/coordination.rs
+++ b/src/coordination.rs
@@ -37,4 +37,5 @@
 pub mod share;
 pub mod slots;
 pub mod store_route;
+pub mod waiting;
 pub mod watch_pacing;
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -21,6 +21,10 @@
 /// home may fill its share from the ledger and recall tokens from the other routers.
 const RESERVE_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Number of routers that a request may ask in vain. When more don't answer, it is this router that
+/// is cut off or out of sockets.
+const MAX_FAILED_DRAWS: u32 = 3;
+
 /// Tokens reserved for a request. Dropping it counts the spent tokens and returns the others to
 /// this router's share.
 pub struct Reservation {
@@ -76,9 +80,17 @@
     let (tx, rx) = async_channel::bounded(1);
     let (acquiring, wanted) = (gw.clone(), workspace.clone());
     gw.spawn(async move {
-        let outcome = acquire(&acquiring, &wanted, tokens, request).await;
+        let _guard = acquiring.acquiring_lock(&wanted).lock_arc().await;
+        if tx.is_closed() {
+            return;
+        }
+        let outcome = match available(&acquiring, &wanted) >= tokens {
+            true => AcquireOutcome::Acquired,
+            false => acquire(&acquiring, &wanted, tokens, request).await,
+        };
         let _ = tx.try_send(outcome);
     });
+    let _waiting = WaitingGuard::new(gw, workspace, tokens);
     let outcome = gw.timers.within(RESERVE_TIMEOUT, rx.recv()).await;
     match reserve_from_share(gw, workspace, tokens) {
         Some(reservation) => Ok(reservation),
@@ -89,6 +101,31 @@
     }
 }
 
+/// Counts a request's tokens as waited for, for as long as it lives.
+struct WaitingGuard {
+    gw: Rc<core::Gateway>,
+    workspace: name::Name,
+    tokens: u64,
+}
+
+impl WaitingGuard {
+    fn new(gw: &Rc<core::Gateway>, workspace: &name::Name, tokens: u64) -> Self {
+        gw.waiting.borrow_mut().begin(workspace, tokens);
+        Self {
+            gw: gw.clone(),
+            workspace: workspace.clone(),
+            tokens,
+        }
+    }
+}
+
+impl Drop for WaitingGuard {
+    fn drop(&mut self) {
+        let mut waiting = self.gw.waiting.borrow_mut();
+        waiting.end(&self.workspace, self.tokens);
+    }
+}
+
 fn reserve_from_share(
     gw: &Rc<core::Gateway>,
     workspace: &name::Name,
@@ -144,7 +181,11 @@
     needed: u64,
     request: Option<name::Name>,
 ) -> AcquireOutcome {
+    let mut failures = 0;
     for home in home_candidates(gw, workspace) {
+        if failures == MAX_FAILED_DRAWS {
+            break;
+        }
         match home {
             Candidate::Local => return acquire_as_home(gw, workspace, needed).await,
             Candidate::Peer(peer) if peer_rpc::is_responsive(gw, peer) => {
@@ -157,6 +198,7 @@
                         _ => AcquireOutcome::Unavailable,
                     };
                 }
+                failures += 1;
             }
             Candidate::Peer(_) => (),
         }
@@ -176,7 +218,8 @@
     let extra = {
         let mut shares = gw.shares.borrow_mut();
         let share = shares.entry(workspace.clone()).or_default();
-        share.expected_demand(share::DRAW_AHEAD_TIME, gw.now())
+        let ahead = share.expected_demand(share::DRAW_AHEAD_TIME, gw.now());
+        ahead.saturating_add(gw.waiting.borrow().others(workspace, needed))
     };
     let workspace = workspace.clone();
     let call = peer_rpc::Call::Draw {
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -15,7 +15,7 @@
 use crate::{
     coordination::{
         announcements, draining, ejection, expired_entries, log_sampling, placement, presence,
-        retry_window, share, store_route,
+        retry_window, share, store_route, waiting,
     },
     gateway::era_notes,
     platform,
@@ -105,6 +105,12 @@
     pub era_notes: era_notes::EraNotes,
     /// Which routers were in the list of members, and when this one was.
     pub presence: RefCell<presence::Presence>,
+    /// Tokens that requests wait for.
+    pub waiting: RefCell<waiting::Waiting>,
+    /// By workspace: held while tokens are acquired for a request, so that one request at a time
+    /// asks and the others find what it got. Locked before any budget lock, and never while another
+    /// router's call is handled, so that two routers that ask each other don't wait in a circle.
+    acquiring_locks: RefCell<HashMap<name::Name, Arc<smol::lock::Mutex<()>>>>,
     /// By workspace: held while its tokens are acquired from or returned to the ledger, so that one
     /// task at a time writes it. Several are locked in the order of their names, and all before any
     /// `RefCell` is borrowed.
@@ -160,6 +166,8 @@
             ledgers: RefCell::default(),
             era_notes: era_notes::EraNotes::default(),
             presence: RefCell::default(),
+            waiting: RefCell::default(),
+            acquiring_locks: RefCell::default(),
             budget_locks: RefCell::default(),
             account_closed: Cell::new(false),
             exhausted_budgets: RefCell::default(),
@@ -211,6 +219,12 @@
         locks.entry(workspace.clone()).or_default().clone()
     }
 
+    /// The lock under which tokens of a budget are acquired for a request.
+    pub fn acquiring_lock(&self, workspace: &name::Name) -> Arc<smol::lock::Mutex<()>> {
+        let mut locks = self.acquiring_locks.borrow_mut();
+        locks.entry(workspace.clone()).or_default().clone()
+    }
+
     /// Replaces the list of the other routers.
     pub fn set_peers(&self, peers: HashMap<String, SocketAddr>) {
         let (most, at) = self.highest_router_count.get();
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -7,8 +7,11 @@
 
 use fulmarproxy::{
     coordination::draining,
-    gateway::ledger,
-    standin::scripted_server::{self, Step},
+    gateway::{budget, ledger},
+    standin::{
+        platform_store,
+        scripted_server::{self, Step},
+    },
     state::share_ledger,
 };
 use gateway_world::{TestEnv, configuration, read_response, request_text, run_test};
@@ -700,6 +703,45 @@
     });
 }
 
+/// Guards against a router that asks for tokens once for each request: with thousands waiting it ran
+/// out of sockets, and answered nobody any more.
+#[test]
+fn requests_that_wait_for_tokens_ask_the_home_once() {
+    run_test(&configuration(1, AMPLE_BUDGET, TIMEOUT_MS), async |env| {
+        let answer = |request: &_| scripted_server::signed_event_stream(request, 0..10, NO_DELAY);
+        env.start_server("model", answer).await;
+        let home = scripted_server::ScriptedServer::new(Rc::new(|_| {
+            let body = r#"{"tokens":100000,"is_exhausted":false}"#;
+            let len = body.len();
+            let reply = format!("HTTP/1.1 200 OK\r\nContent-Length: {len}\r\n\r\n{body}");
+            vec![
+                Step::Wait(Duration::from_millis(50)),
+                Step::Send(reply.into_bytes()),
+            ]
+        }));
+        let (listener, address) = platform_store::listener().await.unwrap();
+        let serving = home.clone().serve(listener, env.executor.clone());
+        env.executor.spawn(serving).detach();
+        // One of the names ranks before the gateway's own.
+        for number in 0.. {
+            env.gw
+                .set_peers([(format!("peer-{number}/1"), address)].into());
+            let candidates = budget::home_candidates(&env.gw, "desk");
+            if candidates[0] == budget::Candidate::Peer(address) {
+                break;
+            }
+        }
+        let sending = (0..40).map(|_| env.send("POST", "/draft/1", USAGE, "prompt"));
+        let responses = futures::future::join_all(sending).await;
+        assert!(responses.iter().all(|response| response.status == 200));
+        let received = home.received.borrow();
+        let draws = received
+            .iter()
+            .filter(|call| String::from_utf8_lossy(&call.body).contains("needed"));
+        assert_eq!(draws.count(), 1);
+    });
+}
+
 /// Guards against 402 for a budget with free tokens: a ledger whose writes all conflicted with other
 /// routers' used to count as exhausted.
 #[test]
