--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -80,7 +80,8 @@
     let (tx, rx) = async_channel::bounded(1);
     let (acquiring, wanted) = (gw.clone(), workspace.clone());
     gw.spawn(async move {
-        let _guard = acquiring.acquiring_lock(&wanted).lock_arc().await;
+        let permits = acquiring.acquiring_permits(&wanted);
+        let _permit = permits.acquire_arc().await;
         if tx.is_closed() {
             return;
         }
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -27,6 +27,10 @@
 /// divided among the routers use this count.
 const ROUTER_COUNT_TTL: Duration = Duration::from_secs(30);
 
+/// Requests that acquire tokens of one workspace at a time. With one only, a slow home held up all
+/// that waited; without a limit they used up the sockets.
+const MAX_ACQUIRING: usize = 8;
+
 /// Backend servers that the store lists, as last read.
 #[derive(Default)]
 pub struct ServerDirectory {
@@ -107,10 +111,10 @@
     pub presence: RefCell<presence::Presence>,
     /// Tokens that requests wait for.
     pub waiting: RefCell<waiting::Waiting>,
-    /// By workspace: held while tokens are acquired for a request, so that one request at a time
-    /// asks and the others find what it got. Locked before any budget lock, and never while another
+    /// By workspace: held while tokens are acquired for a request, so that few requests at a time
+    /// ask and the others find what they got. Taken before any budget lock, and never while another
     /// router's call is handled, so that two routers that ask each other don't wait in a circle.
-    acquiring_locks: RefCell<HashMap<name::Name, Arc<smol::lock::Mutex<()>>>>,
+    acquiring_permits: RefCell<HashMap<name::Name, Arc<smol::lock::Semaphore>>>,
     /// By workspace: held while its tokens are acquired from or returned to the ledger, so that one
     /// task at a time writes it. Several are locked in the order of their names, and all before any
     /// `RefCell` is borrowed.
@@ -167,7 +171,7 @@
             era_notes: era_notes::EraNotes::default(),
             presence: RefCell::default(),
             waiting: RefCell::default(),
-            acquiring_locks: RefCell::default(),
+            acquiring_permits: RefCell::default(),
             budget_locks: RefCell::default(),
             account_closed: Cell::new(false),
             exhausted_budgets: RefCell::default(),
@@ -219,10 +223,13 @@
         locks.entry(workspace.clone()).or_default().clone()
     }
 
-    /// The lock under which tokens of a budget are acquired for a request.
-    pub fn acquiring_lock(&self, workspace: &name::Name) -> Arc<smol::lock::Mutex<()>> {
-        let mut locks = self.acquiring_locks.borrow_mut();
-        locks.entry(workspace.clone()).or_default().clone()
+    /// The permits under which tokens of a budget are acquired for requests.
+    pub fn acquiring_permits(&self, workspace: &name::Name) -> Arc<smol::lock::Semaphore> {
+        let mut permits = self.acquiring_permits.borrow_mut();
+        let permits = permits
+            .entry(workspace.clone())
+            .or_insert_with(|| Arc::new(smol::lock::Semaphore::new(MAX_ACQUIRING)));
+        permits.clone()
     }
 
     /// Replaces the list of the other routers.
