--- a/src/coordination/waiting.rs
+++ b/src/coordination/waiting.rs
@@ -1,7 +1,7 @@
 //! Tokens that requests wait for, by workspace.
 //!
-//! Handles a router to which one workspace suddenly sends many requests: one draw from the budget's
-//! home asks for the tokens of all that wait, instead of one draw for each request.
+//! Handles a router to which one workspace suddenly sends many requests: few draws from the budget's
+//! home ask for the tokens of all that wait, instead of one draw for each request.
 
 use std::collections::HashMap;
 
