--- a/src/coordination/ledger_plan.rs
+++ b/src/coordination/ledger_plan.rs
@@ -85,6 +85,11 @@
         *self = Self::default();
     }
 
+    fn is_holder_old(&self, workspace: &name::Name, holder: &str, now: Duration) -> bool {
+        let key = (workspace.clone(), holder.to_owned());
+        Self::is_old(self.holders.get(&key), now)
+    }
+
     fn is_old(at: Option<&Duration>, now: Duration) -> bool {
         at.is_some_and(|at| now >= *at + MAX_COPY_AGE)
     }
@@ -248,10 +253,9 @@
 }
 
 fn is_aged(held: Option<Holding>, context: &Context<'_>) -> bool {
-    let key = (context.workspace.clone(), context.holder.to_owned());
-    let seen = context.sightings.holders.get(&key);
-    let is_old = held.is_some_and(|held| held.is_aged || Sightings::is_old(seen, context.now));
-    is_old && !context.is_returning
+    let Context { sightings, now, .. } = context;
+    let was_seen = sightings.is_holder_old(context.workspace, context.holder, *now);
+    held.is_some_and(|held| held.is_aged || was_seen) && !context.is_returning
 }
 
 fn fold(ledger: &mut ShareLedger, context: &Context<'_>) {
@@ -278,9 +282,8 @@
     add_remembered(ledger, context);
     if context.era > 0 {
         for (holder, held) in &mut ledger.holders {
-            let key = (context.workspace.clone(), holder.clone());
-            let seen = context.sightings.holders.get(&key);
-            held.is_aged |= Sightings::is_old(seen, context.now);
+            let sightings = context.sightings;
+            held.is_aged |= sightings.is_holder_old(context.workspace, holder, context.now);
         }
     }
     let known = ledger.holders.get(context.holder).copied();
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -1,25 +1,15 @@
 //! Attempts for one request at servers that refuse it, fail or crash.
 
+mod common;
+
 use std::sync::Arc;
 
+use common::servers::servers;
 use fulmarproxy::{
     coordination::attempts::{Attempts, Limits},
     state::server,
 };
 
-fn servers(count: usize) -> Vec<Arc<server::Server>> {
-    let server = |number: usize| server::Server {
-        id: format!("i-{number}").into(),
-        service: "model".into(),
-        address: format!("10.0.0.{}:80", number + 1).parse().unwrap(),
-        zone: "zone-a".into(),
-        slots: 8,
-        takes_work: true,
-        started_unix_ms: 0,
-    };
-    (0..count).map(|number| Arc::new(server(number))).collect()
-}
-
 /// Lets every attempt fail in the same way; returns how often the request was sent.
 fn count_sends(limits: Limits, not_run: bool) -> usize {
     let servers = servers(12);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod placed;
 pub mod proxy;
+pub mod servers;
 
 use std::{
     io::{BufRead, BufReader},
--- a/tests/placing.rs
+++ b/tests/placing.rs
@@ -1,21 +1,11 @@
 //! Choice of a backend server for requests that share prompt prefixes.
 
-use std::{collections::HashMap, sync::Arc};
+mod common;
 
-use fulmarproxy::{coordination::placement, state::server};
+use std::collections::HashMap;
 
-fn servers(count: usize) -> Vec<Arc<server::Server>> {
-    let server = |number: usize| server::Server {
-        id: format!("i-{number}").into(),
-        service: "model".into(),
-        address: format!("10.0.0.{}:80", number + 1).parse().unwrap(),
-        zone: "zone-a".into(),
-        slots: 64,
-        takes_work: true,
-        started_unix_ms: 0,
-    };
-    (0..count).map(|number| Arc::new(server(number))).collect()
-}
+use common::servers::servers;
+use fulmarproxy::coordination::placement;
 
 fn prompt(prefix: u64) -> placement::Prompt {
     placement::Prompt {
--- a/tests/placing_load.rs
+++ b/tests/placing_load.rs
@@ -1,11 +1,14 @@
 //! Plays bursts of prompts on model engines and checks what callers get from the way in which
 //! routers place them.
 
+mod common;
+
 use std::{
     collections::{HashMap, HashSet},
     sync::Arc,
 };
 
+use common::servers;
 use fulmarproxy::{
     coordination::{placement, rendezvous},
     state::server,
@@ -248,19 +251,7 @@
 }
 
 fn play(load: Load, seed: u64, choose: Choose) -> Outcome {
-    let servers: Vec<_> = (0..load.engines)
-        .map(|number| {
-            Arc::new(server::Server {
-                id: format!("i-{number}").into(),
-                service: "model".into(),
-                address: format!("10.0.0.{}:80", number + 1).parse().unwrap(),
-                zone: "zone-a".into(),
-                slots: 64,
-                takes_work: true,
-                started_unix_ms: 0,
-            })
-        })
-        .collect();
+    let servers = servers::servers(load.engines);
     let index: HashMap<_, _> = servers
         .iter()
         .enumerate()
