Tell lost tokens from spent ones in ledgers and logs

Cause: a ledger names what a holder had spent when it last wrote, but not what it had given to other routers, and the log shows a share only when it grows.

--- a/src/coordination/ledger_plan.rs
+++ b/src/coordination/ledger_plan.rs
@@ -120,6 +120,9 @@
     }
     for (holder, held) in &remembered.holders {
         let entry = stored.holders.entry(holder.clone()).or_default();
+        if held.spent > entry.spent {
+            entry.given = held.given;
+        }
         entry.granted = entry.granted.max(held.granted);
         entry.spent = entry.spent.max(held.spent);
         entry.era = entry.era.max(held.era);
--- a/src/coordination/presence.rs
+++ b/src/coordination/presence.rs
@@ -16,6 +16,35 @@
 /// Time after its return for which a router may be taken for absent by others.
 const RETURN_TIME: Duration = super::ledger_plan::MAX_COPY_AGE;
 
+/// Whether a holder, `vm/incarnation`, is another router that is gone: it is not `listed`, or the VM
+/// runs another incarnation.
+///
+/// The entry of a killed router stays listed until its lease ends. While two incarnations of a VM
+/// are listed, both count as gone, since the list doesn't tell which of them came later.
+///
+/// ```
+/// use fulmarproxy::coordination::presence::is_gone;
+/// let listed = ["b/2".to_owned(), "b/3".to_owned(), "c/1".to_owned()];
+/// assert!(!is_gone("a/2", "a/2", listed.iter()));
+/// assert!(is_gone("a/1", "a/2", listed.iter()), "this VM runs a/2");
+/// assert!(is_gone("b/2", "a/2", listed.iter()), "b/3 may run now");
+/// assert!(is_gone("d/1", "a/2", listed.iter()));
+/// assert!(!is_gone("c/1", "a/2", listed.iter()));
+/// ```
+pub fn is_gone<'a>(holder: &str, own: &str, mut listed: impl Iterator<Item = &'a String>) -> bool {
+    let vm = |holder: &str| holder.split('/').next().map(str::to_owned);
+    if holder == own {
+        return false;
+    }
+    let mut is_listed = false;
+    let has_other = vm(own) == vm(holder)
+        || listed.any(|other| {
+            is_listed |= other == holder;
+            other != holder && vm(other) == vm(holder)
+        });
+    has_other || !is_listed
+}
+
 /// When routers were in the list of members.
 #[derive(Debug, Default)]
 pub struct Presence {
--- a/src/coordination/share.rs
+++ b/src/coordination/share.rs
@@ -101,6 +101,19 @@
     }
 }
 
+/// What a share consists of at one moment, in tokens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Tally {
+    /// Neither spent nor reserved.
+    pub available: u64,
+    /// Reserved for running requests.
+    pub reserved: u64,
+    /// Spent.
+    pub spent: u64,
+    /// Granted by the ledger, less those returned to it.
+    pub granted: i64,
+}
+
 /// A router's share of one workspace's budget.
 #[derive(Clone, Debug, Default)]
 pub struct Share {
@@ -125,6 +138,30 @@
             .saturating_sub(self.spent + self.reserved)
     }
 
+    /// What the share consists of.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let mut share = fulmarproxy::coordination::share::Share::default();
+    /// share.grant(10);
+    /// share.reserve(4, Duration::ZERO);
+    /// let tally = share.tally();
+    /// assert_eq!((tally.available, tally.reserved, tally.granted), (6, 4, 10));
+    /// ```
+    pub fn tally(&self) -> Tally {
+        Tally {
+            available: self.available(),
+            reserved: self.reserved,
+            spent: self.spent,
+            granted: self.granted,
+        }
+    }
+
+    /// Tokens given to other routers, less those received from them.
+    pub fn net_given(&self) -> i64 {
+        self.given as i64 - self.received as i64
+    }
+
     /// Tokens granted by the ledger, less those returned to it.
     pub fn granted(&self) -> i64 {
         self.granted
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -33,6 +33,7 @@
 pub mod request;
 pub mod request_log;
 pub mod rollback;
+pub mod share_log;
 mod signals;
 
 /// Runs a gateway with the settings file at `path` until a signal tells it to stop.
@@ -69,6 +70,7 @@
     rollback::start(&gw);
     front::start(&gw, listener);
     request_log::start(&gw);
+    share_log::start(&gw);
     let vm = &settings.vm;
     let incarnation = gw.incarnation;
     tracing::info!(%vm, incarnation, %front, %ready, %fleet, %admin, "gateway: started");
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -280,9 +280,9 @@
             AcquireOutcome::Unavailable
         }
         Ok(_) => {
-            let elsewhere = ledger::held_elsewhere(gw, workspace);
+            let (elsewhere, lost) = ledger::held_elsewhere(gw, workspace);
             tracing::info!(
-                %workspace, needed, prepaid, elsewhere, all_answered, "budget: exhausted"
+                %workspace, needed, prepaid, elsewhere, lost, all_answered, "budget: exhausted"
             );
             let at = gw.now();
             let left = available(gw, workspace);
--- a/src/gateway/ledger.rs
+++ b/src/gateway/ledger.rs
@@ -12,7 +12,7 @@
 use metrics::{counter, gauge};
 
 use crate::{
-    coordination::{ledger_plan, share},
+    coordination::{ledger_plan, presence, share},
     gateway::{core, rollback},
     platform::store,
     state::{name, share_ledger},
@@ -229,6 +229,7 @@
         own: share_ledger::Holding {
             granted: share.granted(),
             spent: share.spent(),
+            given: share.net_given(),
             ..share_ledger::Holding::default()
         },
         prepaid,
@@ -306,17 +307,20 @@
     }
 }
 
-/// Tokens that other holders had been granted and had not spent when they last wrote the ledger.
-/// Running routers still hold theirs; those of routers that were killed are lost.
-pub fn held_elsewhere(gw: &core::Gateway, workspace: &str) -> i64 {
+/// Tokens of a budget that other holders held when they last wrote the ledger, and the part of them
+/// that belonged to routers that are gone.
+pub fn held_elsewhere(gw: &core::Gateway, workspace: &str) -> (u64, u64) {
     let ledgers = gw.ledgers.borrow();
     let Some(ledger) = ledgers.get(workspace).and_then(decode) else {
-        return 0;
+        return (0, 0);
     };
     let own = gw.holder();
-    let others = ledger.holders.iter().filter(|(holder, _)| **holder != own);
-    let unspent = others.map(|(_, holding)| holding.granted - holding.spent as i64);
-    unspent.sum()
+    let (peers, own) = (gw.peers.borrow(), own.as_str());
+    let is_gone = |holder: &str| presence::is_gone(holder, own, peers.keys());
+    (
+        ledger.unspent(|holder| holder != own),
+        ledger.unspent(is_gone),
+    )
 }
 
 fn apply_plans(gw: &core::Gateway, plans: &[(name::Name, ledger_plan::Plan)]) {
--- a/src/state/share_ledger.rs
+++ b/src/state/share_ledger.rs
@@ -16,6 +16,10 @@
     pub granted: i64,
     /// Tokens that the router had spent when it last wrote the entry.
     pub spent: u64,
+    /// Tokens that the router had given to other routers, less those received from them, when it
+    /// last wrote the entry.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub given: i64,
     /// Era of the store in which the router last wrote the entry.
     #[serde(default, skip_serializing_if = "is_default")]
     pub era: u64,
@@ -24,6 +28,24 @@
     pub is_aged: bool,
 }
 
+impl Holding {
+    /// Tokens that the router still held when it last wrote the entry.
+    ///
+    /// ```
+    /// use fulmarproxy::state::share_ledger::Holding;
+    /// let held = Holding { granted: 10, spent: 4, given: 3, ..Holding::default() };
+    /// assert_eq!(held.unspent(), 3);
+    /// ```
+    pub fn unspent(&self) -> u64 {
+        let spent = i64::try_from(self.spent).unwrap_or(i64::MAX);
+        let unspent = self
+            .granted
+            .saturating_sub(spent)
+            .saturating_sub(self.given);
+        u64::try_from(unspent).unwrap_or(0)
+    }
+}
+
 /// The end of one holder's account.
 #[derive(Clone, Debug, Deserialize, PartialEq, Eq, Serialize)]
 pub struct Closing {
@@ -134,6 +156,13 @@
         listed.fold(self.closed, i64::saturating_add)
     }
 
+    /// Tokens that the holders chosen by `is_counted` held when they last wrote their entries.
+    pub fn unspent(&self, is_counted: impl Fn(&str) -> bool) -> u64 {
+        let counted = self.holders.iter().filter(|(holder, _)| is_counted(holder));
+        let unspent = counted.map(|(_, held)| held.unspent());
+        unspent.fold(0, u64::saturating_add)
+    }
+
     /// Tokens that are not free: granted to holders, open and closed, and not returned, or kept back
     /// for holders that are unknown. Transfers between routers don't change this number.
     ///
--- a/tests/rollback.rs
+++ b/tests/rollback.rs
@@ -560,9 +560,9 @@
     };
     let old = Holding {
         granted: 20_000,
-        spent: 0,
         era: 1,
         is_aged: true,
+        ..Holding::default()
     };
     ledger.holders.insert("a/1".to_owned(), old);
     let copy = ledger.clone();
