Use little of the retry slack in the first window of a gateway

Cause: a gateway divides the fleet's slack by the number of gateways that it knows, which was one until the first list of members. One that starts again has an empty window and used its share a second time.

Change: no slack until the list has been read, and a fifth of the share during the first window. Two restarts of all gateways in a window stay within the allowance. The tests' gateways now read an empty list of others at their start, as a real one does.

--- a/src/coordination/retry_window.rs
+++ b/src/coordination/retry_window.rs
@@ -4,6 +4,9 @@
 //! window is a fraction of its requests plus a fixed slack. Each router uses that fraction of its
 //! own requests and an equal share of the slack, so the sum over all routers stays within the
 //! allowance without any exchange between them.
+//!
+//! A router that has just started does not know what the process before it used of its share of the
+//! slack, and can't know its share before it has read how many routers there are.
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -16,6 +19,10 @@
 /// windows over the whole fleet that are counted at other times than a router's.
 const USED_FRACTION: f64 = 0.7;
 
+/// Fraction of its share of the slack that a router uses during its first window. Up to two restarts
+/// of all routers in a window stay within the allowance.
+const FIRST_WINDOW_FRACTION: f64 = 0.2;
+
 #[derive(Debug, Default)]
 struct Window {
     requests: VecDeque<Duration>,
@@ -54,6 +61,9 @@
 
     /// Takes one retry for a service; returns false when none is left in the window.
     ///
+    /// `routers` is their number, `None` until it is known; `now` is the time since the process
+    /// started.
+    ///
     /// ```
     /// use std::time::Duration;
     /// use fulmarproxy::coordination::retry_window;
@@ -61,14 +71,19 @@
     ///     window: Duration::from_secs(10), per_request: 0.2, slack: 10.0,
     /// };
     /// let mut retries = retry_window::RetryWindows::default();
-    /// assert!(retries.take_retry(&"s".into(), allowance, 5, Duration::ZERO));
-    /// assert!(!retries.take_retry(&"s".into(), allowance, 5, Duration::ZERO));
+    /// let mut take = |routers, seconds| {
+    ///     retries.take_retry(&"s".into(), allowance, routers, Duration::from_secs(seconds))
+    /// };
+    /// assert!(!take(None, 10));
+    /// assert!(!take(Some(5), 9), "less than one in the first window");
+    /// assert!(take(Some(5), 10));
+    /// assert!(!take(Some(5), 10));
     /// ```
     pub fn take_retry(
         &mut self,
         service: &name::Name,
         allowance: Allowance,
-        routers: usize,
+        routers: Option<usize>,
         now: Duration,
     ) -> bool {
         let window = self.windows.entry(service.clone()).or_default();
@@ -76,7 +91,11 @@
         remove_before(&mut window.requests, start);
         remove_before(&mut window.retries, start);
         let own = window.requests.len() as f64 * allowance.per_request;
-        let slack = allowance.slack / routers.max(1) as f64;
+        let share = routers.map_or(0.0, |count| allowance.slack / count.max(1) as f64);
+        let slack = match now < allowance.window {
+            true => share * FIRST_WINDOW_FRACTION,
+            false => share,
+        };
         let allowed = (own + slack) * USED_FRACTION;
         if window.retries.len() as f64 + 1.0 > allowed {
             return false;
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -250,12 +250,18 @@
         *self.peers.borrow_mut() = peers;
     }
 
-    /// Number of routers in the fleet, including this one.
+    /// Number of routers in the fleet, including this one; 1 until the list has been read.
+    pub fn router_count(&self) -> usize {
+        self.known_router_count().unwrap_or(1)
+    }
+
+    /// Number of routers in the fleet, including this one; `None` until the list has been read.
     ///
     /// This is the highest recent count, because entries expire while the store is unavailable and
     /// the routers are still running.
-    pub fn router_count(&self) -> usize {
-        self.highest_router_count.get().0.max(1)
+    pub fn known_router_count(&self) -> Option<usize> {
+        let (highest, _) = self.highest_router_count.get();
+        (highest > 0).then_some(highest)
     }
 
     /// Retries that the whole fleet may make, from the settings.
--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -149,7 +149,8 @@
 /// Takes one of the retries that are left to the service; false when there is none.
 fn take_retry(gw: &core::Gateway, service: &name::Name) -> bool {
     let mut retry_windows = gw.retry_windows.borrow_mut();
-    retry_windows.take_retry(service, gw.retry_allowance(), gw.router_count(), gw.now())
+    let routers = gw.known_router_count();
+    retry_windows.take_retry(service, gw.retry_allowance(), routers, gw.now())
 }
 
 const CRASH_MESSAGE: &str = "backend servers crashed each time that the same request ran";
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -218,7 +218,7 @@
             .gw
             .retry_windows
             .borrow_mut()
-            .take_retry(&service, allowance, 1, now)
+            .take_retry(&service, allowance, Some(1), now)
         {}
         let text = received_from_broken_stream(&env).await;
         assert_eq!(text.matches("HTTP/1.1").count(), 1, "{text}");
--- a/tests/gateway_world/mod.rs
+++ b/tests/gateway_world/mod.rs
@@ -110,6 +110,7 @@
         is_first_start: true,
     };
     let gw = core::Gateway::new(settings, executor);
+    gw.set_peers([].into());
     let listener = front::bind(any_port()).await.unwrap();
     let front = listener.local_addr().unwrap();
     config_sync::start(&gw);
--- a/tests/shares.rs
+++ b/tests/shares.rs
@@ -216,7 +216,7 @@
             router.count_request(&service, now);
             requests.push(now);
         }
-        if router.take_retry(&service, allowance, 5, now) {
+        if router.take_retry(&service, allowance, Some(5), now) {
             taken.push(now);
         }
         let since = now.saturating_sub(allowance.window);
