Give up answers without end

Callers would see: a gateway that answers nobody any more once a backend server sends without end, or that is killed for its memory.

Cause: a time limit runs only when the work that it limits waits. A server that sends faster than its bytes are handled never lets a read wait, so no limit and no other request got a turn. An event without end had no limit of size and was searched anew with each piece; interim heads and responses to other requests had no limit; 64 held bodies of 16 MiB exceed the memory of a small machine.

Change: a turn for others after eight reads; limits on interim heads, events, discarded responses and on the sum of what is held; the body of "not run" is read for 50 ms at most; an event is searched once.

--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -101,6 +101,8 @@
     pub connection_pool: RefCell<connection_pool::ConnectionPool>,
     /// Fleet listener addresses of the other routers, by `vm/incarnation`.
     pub peers: RefCell<HashMap<String, SocketAddr>>,
+    /// Bytes of responses that are held until they are complete.
+    pub buffered_bytes: Cell<usize>,
     /// Number of callers' requests in flight.
     pub in_flight: Cell<usize>,
     /// The shutdown in progress; `None` until the process is told to stop.
@@ -170,6 +172,7 @@
             shares: RefCell::default(),
             connection_pool: RefCell::default(),
             peers: RefCell::default(),
+            buffered_bytes: Cell::new(0),
             in_flight: Cell::new(0),
             draining: Cell::new(None),
             ledgers: RefCell::default(),
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -24,6 +24,9 @@
 /// doesn't close it just as a request is sent.
 const IDLE_TIMEOUT_FRACTION: f64 = 0.7;
 
+/// Maximum size of the body of a response to another request, which is read and discarded, in bytes.
+const MAX_FOREIGN_BODY_BYTES: usize = 1 << 20;
+
 /// A request as every attempt sends it.
 pub struct OutgoingRequest {
     /// Request id, as sent by the caller.
@@ -289,8 +292,9 @@
                     "exchange: discarded a response to another request"
                 );
                 let framing = body::response_framing(&head, "GET")?;
-                let mut rest = body::Body::new(framing);
-                while rest.next(conn).await?.is_some() {}
+                body::Body::new(framing)
+                    .read_all(conn, MAX_FOREIGN_BODY_BYTES)
+                    .await?;
             }
             _ => return Ok(head),
         }
--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -18,6 +18,10 @@
     transport::h1::{conn, fault, head},
 };
 
+/// Time for which the body of a response that states that the request did not run is read, to reuse
+/// the connection. The request waits meanwhile.
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// Why no complete response of a server was relayed.
 pub enum RequestError {
     /// The gateway responds itself.
@@ -265,8 +269,9 @@
     histogram!("fulmar_gateway_first_byte_seconds").record(waited.as_secs_f64());
     let status = response.head.status;
     if not_run {
-        let drained = relay::read_body(&mut response).await;
-        if drained.is_ok() {
+        let reading = relay::read_body(gw, &mut response);
+        let drained = gw.timers.within(DRAIN_TIMEOUT, reading).await;
+        if let Some(Ok(_)) = drained {
             response.recycle(gw);
         }
         return AttemptOutcome::NotRun(format!("the server turned it away with status {status}"));
@@ -308,7 +313,7 @@
     close: bool,
 ) -> AttemptOutcome {
     let status = response.head.status;
-    let body = match relay::read_body(&mut response).await {
+    let body = match relay::read_body(gw, &mut response).await {
         Ok(body) => body,
         Err(err) => return failed_read(&err, format!("the answer was cut short: {err}")),
     };
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,7 +1,9 @@
 //! Relays a backend server's response to the caller.
 
+use std::rc::Rc;
+
 use crate::{
-    gateway::{exchange, meter, refusal},
+    gateway::{core, exchange, meter, refusal},
     platform::headers,
     transport::h1::{conn, fault, head},
 };
@@ -9,6 +11,62 @@
 /// Maximum size of a body that is buffered before it is relayed, in bytes.
 const MAX_BODY_BYTES: usize = 16 << 20;
 
+/// Maximum size of an event, in bytes.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// Maximum size of all responses that are held until they are complete, in bytes. The smallest VM
+/// has 160 MB, and a growing buffer takes up to three times its size.
+const MAX_HELD_BYTES: usize = 24 << 20;
+
+/// Size up to which a response is held however many others are, so that endless ones do not fail
+/// those of usual size, in bytes.
+const SMALL_BYTES: usize = 64 * 1024;
+
+/// Part of a response that is held until it is complete.
+struct Held {
+    gw: Rc<core::Gateway>,
+    bytes: Vec<u8>,
+    counted: usize,
+}
+
+impl Held {
+    fn new(gw: &Rc<core::Gateway>) -> Self {
+        Self {
+            gw: gw.clone(),
+            bytes: Vec::new(),
+            counted: 0,
+        }
+    }
+
+    /// Adds bytes; fails when there are more than `max_bytes`, or too many over all responses.
+    fn add(&mut self, piece: &[u8], max_bytes: usize) -> Result<(), fault::Fault> {
+        self.bytes.extend_from_slice(piece);
+        let total = self.count();
+        if self.bytes.len() > max_bytes {
+            return Err(fault::Fault::TooLarge("body"));
+        }
+        if self.bytes.len() > SMALL_BYTES && total > MAX_HELD_BYTES {
+            return Err(fault::Fault::TooLarge("sum of all held bodies"));
+        }
+        Ok(())
+    }
+
+    /// Counts this part anew and returns the sum over all responses.
+    fn count(&mut self) -> usize {
+        let others = self.gw.buffered_bytes.get() - self.counted;
+        self.counted = self.bytes.len();
+        self.gw.buffered_bytes.set(others + self.counted);
+        others + self.counted
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.bytes.clear();
+        self.count();
+    }
+}
+
 /// Why a response was not relayed completely.
 pub enum RelayError {
     /// Writing to the caller failed.
@@ -26,7 +84,7 @@
     /// Id of the last event relayed.
     pub last_id: Option<String>,
     /// Bytes of an event that has not been received completely.
-    partial: Vec<u8>,
+    partial: Held,
 }
 
 /// Reads the whole body of a response.
@@ -34,9 +92,15 @@
 /// # Errors
 ///
 /// [`fault::Fault`] when the body ends early or is too large.
-pub async fn read_body(response: &mut exchange::Response) -> Result<Vec<u8>, fault::Fault> {
-    let exchange::Response { body, conn, .. } = response;
-    body.read_all(conn, MAX_BODY_BYTES).await
+pub async fn read_body(
+    gw: &Rc<core::Gateway>,
+    response: &mut exchange::Response,
+) -> Result<Vec<u8>, fault::Fault> {
+    let mut held = Held::new(gw);
+    while let Some(piece) = response.next().await? {
+        held.add(&piece, MAX_BODY_BYTES)?;
+    }
+    Ok(std::mem::take(&mut held.bytes))
 }
 
 /// Sends a buffered response to the caller.
@@ -55,10 +119,12 @@
     caller.write(&bytes).await
 }
 
-/// Length of the complete events at the start of `bytes`; an event ends with an empty line.
-fn complete_events_len(bytes: &[u8]) -> usize {
-    let lf = find_last(bytes, b"\n\n").map(|at| at + 2);
-    let crlf = find_last(bytes, b"\r\n\r\n").map(|at| at + 4);
+/// Length of the complete events at the start of `bytes`; an event ends with an empty line. None of
+/// them ends within the first `searched` bytes.
+fn complete_events_len(bytes: &[u8], searched: usize) -> usize {
+    let from = searched.saturating_sub(b"\r\n\r".len());
+    let lf = find_last(&bytes[from..], b"\n\n").map(|at| from + at + 2);
+    let crlf = find_last(&bytes[from..], b"\r\n\r\n").map(|at| from + at + 4);
     lf.max(crlf).unwrap_or(0)
 }
 
@@ -68,12 +134,12 @@
 
 impl EventStream {
     /// Creates a stream of which nothing has been relayed yet.
-    pub fn new(meter: meter::TokenMeter) -> Self {
+    pub fn new(gw: &Rc<core::Gateway>, meter: meter::TokenMeter) -> Self {
         Self {
             meter,
             is_started: false,
             last_id: None,
-            partial: Vec::new(),
+            partial: Held::new(gw),
         }
     }
 
@@ -91,20 +157,23 @@
         response: &mut exchange::Response,
         close: bool,
     ) -> Result<(), RelayError> {
-        self.partial.clear();
+        self.partial.bytes.clear();
         loop {
             let piece = response.next().await.map_err(RelayError::Server)?;
             let Some(piece) = piece else { break };
-            self.partial.extend_from_slice(&piece);
-            let len = complete_events_len(&self.partial);
-            if len > 0 {
-                let events: Vec<u8> = self.partial.drain(..len).collect();
+            let searched = self.partial.bytes.len();
+            let added = self.partial.add(&piece, MAX_EVENT_BYTES);
+            let len = complete_events_len(&self.partial.bytes, searched);
+            if len == 0 {
+                added.map_err(RelayError::Server)?;
+            } else {
+                let events: Vec<u8> = self.partial.bytes.drain(..len).collect();
                 self.send_chunk(caller, &response.head, &events, close)
                     .await?;
             }
         }
-        if !self.partial.is_empty() {
-            let rest = std::mem::take(&mut self.partial);
+        if !self.partial.bytes.is_empty() {
+            let rest = std::mem::take(&mut self.partial.bytes);
             self.send_chunk(caller, &response.head, &rest, close)
                 .await?;
         }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -127,7 +127,7 @@
     let engine = req.service.engine.as_ref();
     let per_event = engine.map_or(1, |engine| engine.tokens_per_event);
     let meter = meter::TokenMeter::new(reservation, req.token_need.input, per_event);
-    let mut stream = relay::EventStream::new(meter);
+    let mut stream = relay::EventStream::new(gw, meter);
     let mut failure = None;
     let work = forwarding::run_attempts(gw, caller, &req, log, &mut stream, &mut failure, close);
     let ended = match gw.timers.within(limit, work).await {
--- a/src/transport/h1/conn.rs
+++ b/src/transport/h1/conn.rs
@@ -7,12 +7,17 @@
 /// Bytes requested from the socket per read; enough for an event of a stream and for most heads.
 const READ_BYTES: usize = 16 * 1024;
 
+/// Reads after which other tasks of the thread get a turn. A peer that sends faster than its bytes
+/// are handled would otherwise never let them, nor any time limit, run.
+const READS_PER_TURN: u32 = 8;
+
 /// A TCP connection, and the bytes that were read from it but not yet consumed.
 pub struct Conn {
     stream: async_net::TcpStream,
     buf: Vec<u8>,
     /// Offset in `buf` of the first byte that is not yet consumed.
     start: usize,
+    reads: u32,
 }
 
 impl Conn {
@@ -23,6 +28,7 @@
             stream,
             buf,
             start: 0,
+            reads: 0,
         }
     }
 
@@ -48,6 +54,10 @@
     ///
     /// [`fault::Fault::Io`] when the socket fails.
     pub async fn fill(&mut self) -> Result<bool, fault::Fault> {
+        self.reads = self.reads.wrapping_add(1);
+        if self.reads.is_multiple_of(READS_PER_TURN) {
+            smol::future::yield_now().await;
+        }
         if self.start > 0 {
             self.buf.drain(..self.start);
             self.start = 0;
--- a/src/transport/h1/head.rs
+++ b/src/transport/h1/head.rs
@@ -8,6 +8,9 @@
 /// Limit on the size of a response head; servers send well under a kilobyte.
 const MAX_RESPONSE_HEAD_BYTES: usize = 64 * 1024;
 
+/// Limit on the interim responses before one final response.
+const MAX_INTERIM_RESPONSES: u32 = 16;
+
 /// One header, with its name and value as received.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Header {
@@ -161,14 +164,20 @@
 /// # Errors
 ///
 /// [`fault::Fault::ClosedMidMessage`] when the peer closed first; [`fault::Fault::Malformed`] when
-/// the bytes are not a response; [`fault::Fault::TooLarge`] when the head exceeds its limit.
+/// the bytes are not a response; [`fault::Fault::TooLarge`] when the head or the number of interim
+/// responses exceeds its limit.
 pub async fn read_response(conn: &mut conn::Conn) -> Result<ResponseHead, fault::Fault> {
+    let mut interim = 0;
     loop {
         if let Some((head, len)) = parse_response(conn.unread())? {
             conn.consume(len);
             if head.status >= 200 {
                 return Ok(head);
             }
+            interim += 1;
+            if interim > MAX_INTERIM_RESPONSES {
+                return Err(fault::Fault::TooLarge("number of interim answers"));
+            }
             continue;
         }
         if conn.unread().len() > MAX_RESPONSE_HEAD_BYTES {
