Count a crash only when the server refuses connections

Cause: any failure of the probing connection counted as a crash, also a timeout or a gateway without descriptors. The write of a refused request held up its answer, and was made again for each run that ended after the third crash.

The write goes on by itself, once. Holders are compared without copies of their names.

--- a/src/coordination/ledger_plan.rs
+++ b/src/coordination/ledger_plan.rs
@@ -124,6 +124,7 @@
     for (holder, held) in &remembered.holders {
         let entry = stored.holders.entry(holder.clone()).or_default();
         if held.spent > entry.spent {
+            // That entry is the later one. Tokens given can be given back, so no figure is final.
             entry.given = held.given;
         }
         entry.granted = entry.granted.max(held.granted);
--- a/src/coordination/presence.rs
+++ b/src/coordination/presence.rs
@@ -32,7 +32,6 @@
 /// assert!(!is_gone("c/1", "a/2", listed.iter()));
 /// ```
 pub fn is_gone<'a>(holder: &str, own: &str, mut listed: impl Iterator<Item = &'a String>) -> bool {
-    let vm = |holder: &str| holder.split('/').next().map(str::to_owned);
     if holder == own {
         return false;
     }
@@ -45,6 +44,11 @@
     has_other || !is_listed
 }
 
+/// The VM of a holder.
+fn vm(holder: &str) -> &str {
+    holder.split('/').next().unwrap_or(holder)
+}
+
 /// When routers were in the list of members.
 #[derive(Debug, Default)]
 pub struct Presence {
--- a/src/coordination/suspects.rs
+++ b/src/coordination/suspects.rs
@@ -39,24 +39,24 @@
 
 impl Suspects {
     /// Records that a server crashed while it ran a request that was sent at `sent`; returns the
-    /// number of crashes counted for it.
+    /// number of crashes counted for it, or `None` when this one doesn't count.
     ///
     /// ```
     /// use std::time::Duration;
     /// let mut suspects = fulmarproxy::coordination::suspects::Suspects::default();
     /// let seconds = Duration::from_secs;
-    /// assert_eq!(suspects.record_crash(7, seconds(0), seconds(1)), 1);
-    /// assert_eq!(suspects.record_crash(7, seconds(0), seconds(2)), 1, "sent before the first");
-    /// assert_eq!(suspects.record_crash(7, seconds(2), seconds(3)), 2);
+    /// assert_eq!(suspects.record_crash(7, seconds(0), seconds(1)), Some(1));
+    /// assert_eq!(suspects.record_crash(7, seconds(0), seconds(2)), None, "sent before the first");
+    /// assert_eq!(suspects.record_crash(7, seconds(2), seconds(3)), Some(2));
     /// ```
-    pub fn record_crash(&mut self, fingerprint: u64, sent: Duration, now: Duration) -> u32 {
+    pub fn record_crash(&mut self, fingerprint: u64, sent: Duration, now: Duration) -> Option<u32> {
         let known = self.current(fingerprint, now);
-        if let Some(known) = known.filter(|known| sent < known.last) {
-            return known.crashes;
+        if known.is_some_and(|known| sent < known.last) {
+            return None;
         }
         let crashes = known.map_or(0, |known| known.crashes) + 1;
         self.set(fingerprint, crashes, now);
-        crashes
+        Some(crashes)
     }
 
     /// Merges what another gateway reports.
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -3,8 +3,8 @@
 //! The platform's store holds the configuration, the list of backend servers and the ledgers of
 //! budgets. The main modules, each of which uses only those listed after it, are [`front`],
 //! [`request`], [`admission`], [`forwarding`], [`request_log`], [`relay`], [`crash_reports`],
-//! [`exchange`], [`meter`], [`replenishing`], [`budget`], [`ledger`], [`peer_rpc`], [`config_sync`], [`directory`], [`fleet`]
-//! and [`core`].
+//! [`exchange`], [`meter`], [`replenishing`], [`budget`], [`ledger`], [`peer_rpc`], [`config_sync`],
+//! [`directory`], [`fleet`] and [`core`].
 
 use std::rc::Rc;
 
--- a/src/gateway/crash_reports.rs
+++ b/src/gateway/crash_reports.rs
@@ -4,7 +4,7 @@
 //! Counts go to the other gateways by [`peer_rpc`]. Those of requests that are refused are also
 //! written to the store, under this gateway's lease, for the time after a restart of all gateways.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{io::ErrorKind, net::SocketAddr, rc::Rc, time::Duration};
 
 use metrics::counter;
 
@@ -64,32 +64,39 @@
 }
 
 /// Called when the connection to a server ended before the response to a request, sent at `sent`,
-/// was complete. If the server accepts no connection either, it has crashed, and the request
-/// becomes a suspect.
+/// was complete. If the server refuses connections too, it has crashed, and the request becomes a
+/// suspect.
 pub async fn note_lost_connection(
     gw: &Rc<core::Gateway>,
     server: &server::Server,
     fingerprint: u64,
     sent: Duration,
 ) {
-    if let Ok(conn) = dial::connect(server.address, PROBE_TIMEOUT, &gw.timers).await {
-        counter!("fulmar_gateway_connections_total").increment(1);
-        exchange::keep_connection(gw, server, conn);
-        return;
+    let id = &server.id;
+    match dial::connect(server.address, PROBE_TIMEOUT, &gw.timers).await {
+        Ok(conn) => {
+            counter!("fulmar_gateway_connections_total").increment(1);
+            exchange::keep_connection(gw, server, conn);
+            return;
+        }
+        Err(err) if err.kind() == ErrorKind::ConnectionRefused => (),
+        Err(err) => {
+            tracing::info!(%id, %err, "crashes: unknown whether a server has ended");
+            return;
+        }
     }
-    let now = gw.now();
-    let reports = &gw.crash_notes;
-    let crashes = reports
-        .suspects
-        .borrow_mut()
-        .record_crash(fingerprint, sent, now);
+    let mut suspects = gw.crash_notes.suspects.borrow_mut();
+    let Some(crashes) = suspects.record_crash(fingerprint, sent, gw.now()) else {
+        return;
+    };
+    drop(suspects);
     counter!("fulmar_gateway_crash_suspects_total").increment(1);
-    let id = &server.id;
     tracing::info!(%id, fingerprint, crashes, "crashes: a server ended while it ran a request");
-    reports.changed.notify(usize::MAX);
+    gw.crash_notes.changed.notify(usize::MAX);
     if crashes == suspects::REFUSAL_THRESHOLD {
         tracing::warn!(fingerprint, "crashes: the request is refused from now on");
-        store_refused(gw, fingerprint).await;
+        let storing = gw.clone();
+        gw.spawn(async move { store_refused(&storing, fingerprint).await });
     }
 }
 
