--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -758,3 +758,21 @@
         assert_eq!(response.status, 200);
     });
 }
+
+#[test]
+fn servers_are_handed_no_more_time_than_the_caller_has_left() {
+    run_test(&configuration(1, AMPLE_BUDGET, TIMEOUT_MS), async |env| {
+        let pause = Duration::from_millis(100);
+        let server = env
+            .start_server("plain", move |_| vec![Step::Wait(pause), Step::Close])
+            .await;
+        env.send("POST", "/look/1", "", "x").await;
+        let received = server.received.borrow();
+        let deadline = |index: usize| -> u64 {
+            let given = received[index].head.headers.text("X-Deadline-Ms");
+            given.unwrap().parse().unwrap()
+        };
+        assert!(deadline(0) <= TIMEOUT_MS.min(5000));
+        assert!(deadline(1) + 100 <= deadline(0), "the second attempt");
+    });
+}
