Spread the counts of crashes over time in a large fleet

Cause: when servers crash, every gateway that had requests there tells all others at once: in a fleet of 103 up to ten thousand calls in one moment, and two incarnations at one address shared a note of what had been sent.

Change: counts wait up to 2 ms for each gateway of the fleet, which also joins them, and go to eight gateways at a time. What was sent is noted by incarnation.

--- a/src/gateway/crash_notes.rs
+++ b/src/gateway/crash_notes.rs
@@ -1,6 +1,6 @@
 //! What a gateway has noted about requests that were running when backend servers crashed.
 
-use std::{cell::RefCell, collections::HashMap, net::SocketAddr, time::Duration};
+use std::{cell::RefCell, collections::HashMap, time::Duration};
 
 use crate::coordination::{crashes, suspects};
 
@@ -12,8 +12,8 @@
 pub struct CrashNotes {
     /// Suspects as this gateway knows them.
     pub suspects: RefCell<suspects::Suspects>,
-    /// By address: the holder there, and the number of the last change that it has been told of.
-    pub told: RefCell<HashMap<SocketAddr, (String, u64)>>,
+    /// By `vm/incarnation`: the number of the last change that the gateway has been told of.
+    pub told: RefCell<HashMap<String, u64>>,
     /// Notified when a count has changed here.
     pub changed: event_listener::Event,
 }
--- a/src/gateway/crash_reports.rs
+++ b/src/gateway/crash_reports.rs
@@ -25,6 +25,13 @@
 /// Interval at which counts are sent again to gateways that did not receive them.
 const RESEND_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Longest delay, per gateway in the fleet, after which counts are sent. Many gateways see the same
+/// crash, and each has many counts at that moment; a delay spreads the calls and joins the counts.
+const TELL_DELAY: Duration = Duration::from_millis(2);
+
+/// Number of gateways that are told at a time.
+const TOLD_AT_A_TIME: usize = 8;
+
 /// Number of gateways that tell their counts to one that has started.
 const ASKED_AT_START: u32 = 2;
 
@@ -154,6 +161,8 @@
             let changed = telling.crash_notes.changed.listen();
             if tell_peers(&telling).await {
                 changed.await;
+                let most = TELL_DELAY * u32::try_from(telling.router_count()).unwrap_or(u32::MAX);
+                telling.timers.sleep(most.mul_f64(fastrand::f64())).await;
             } else {
                 telling.timers.within(RESEND_INTERVAL, changed).await;
             }
@@ -185,27 +194,29 @@
     }
     let peers = gw.peers.borrow().clone();
     let mut told = reports.told.borrow().clone();
-    told.retain(|_, (holder, _)| peers.contains_key(holder));
-    let behind = peers.iter().filter(|(holder, address)| {
-        let known = told.get(address).filter(|(known, _)| known == *holder);
-        known.is_none_or(|(_, change)| *change < last)
-    });
-    let calls = behind.map(async |(holder, address)| {
-        let after = told.get(address).filter(|(known, _)| known == holder);
-        let after = after.map_or(0, |(_, change)| *change);
+    told.retain(|holder, _| peers.contains_key(holder));
+    let change_told = |holder: &String| told.get(holder).copied().unwrap_or(0);
+    let behind = peers
+        .iter()
+        .filter(|(holder, _)| change_told(holder) < last);
+    let tell = async |(holder, address): (&String, &SocketAddr)| {
         let (changes, covered) = {
             let suspects = reports.suspects.borrow();
-            suspects.changes_after(after, crash_notes::MAX_REPORTS, gw.now())
+            suspects.changes_after(change_told(holder), crash_notes::MAX_REPORTS, gw.now())
         };
         if !changes.is_empty() {
             send(gw, *address, changes).await?;
         }
-        Some((*address, (holder.clone(), covered)))
-    });
-    let answers = futures::future::join_all(calls).await;
+        Some((holder.clone(), covered))
+    };
+    let behind: Vec<_> = behind.collect();
+    let mut answers = Vec::new();
+    for peers in behind.chunks(TOLD_AT_A_TIME) {
+        answers.extend(futures::future::join_all(peers.iter().copied().map(&tell)).await);
+    }
     let is_complete = answers.iter().all(Option::is_some);
     told.extend(answers.into_iter().flatten());
-    let is_current = told.values().all(|(_, change)| *change >= last);
+    let is_current = told.values().all(|change| *change >= last);
     *reports.told.borrow_mut() = told;
     is_complete && is_current
 }
