Count how streams from backend servers end

Cause: a stream that ended was logged as answered, for one request in sixteen. Neither a log nor a metric told how the server had framed its answer, and whether it ended inside an event, so the hypotheses of streams broken off could not be told apart.

Change: a counter of stream ends by framing and by place, and a line for each that ended inside an event. Behaviour is unchanged.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -49,6 +49,8 @@
     pub server: Arc<server::Server>,
     /// Head of the response.
     pub head: head::ResponseHead,
+    /// How the end of the body is marked.
+    pub framing: body::Framing,
     /// Reader of the body.
     pub body: body::Body,
     /// Connection from which the body is read.
@@ -157,6 +159,7 @@
     Ok(Response {
         server: server.clone(),
         head,
+        framing,
         body: body::Body::new(framing),
         conn,
         reusable,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -2,6 +2,8 @@
 
 use std::rc::Rc;
 
+use metrics::counter;
+
 use crate::{
     gateway::{core, exchange, meter, refusal},
     platform::headers,
@@ -172,6 +174,7 @@
                     .await?;
             }
         }
+        self.note_end(response);
         if !self.partial.bytes.is_empty() {
             let rest = std::mem::take(&mut self.partial.bytes);
             self.send_chunk(caller, &response.head, &rest, close)
@@ -181,6 +184,21 @@
         caller.write(b"0\r\n\r\n").await.map_err(RelayError::Caller)
     }
 
+    /// Counts how the server's part of the stream ended.
+    fn note_end(&self, response: &exchange::Response) {
+        let framing = response.framing.name();
+        let unfinished = self.partial.bytes.len();
+        let at = match unfinished {
+            0 => "event_end",
+            _ => "inside_event",
+        };
+        counter!("fulmar_gateway_stream_ends_total", "framing" => framing, "at" => at).increment(1);
+        if unfinished > 0 {
+            let server = &response.server.id;
+            tracing::info!(%server, framing, unfinished, "relay: a stream ended inside an event");
+        }
+    }
+
     /// Sends the head of the response unless it has been sent.
     async fn send_head(
         &mut self,
--- a/src/transport/h1/body.rs
+++ b/src/transport/h1/body.rs
@@ -16,6 +16,22 @@
     Close,
 }
 
+impl Framing {
+    /// Name in logs and metrics.
+    ///
+    /// ```
+    /// use fulmarproxy::transport::h1::body;
+    /// assert_eq!(body::Framing::Chunked.name(), "chunks");
+    /// ```
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Length(_) => "length",
+            Self::Chunked => "chunks",
+            Self::Close => "close",
+        }
+    }
+}
+
 /// What comes next in a chunked body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ChunkState {
