Require the end of a JSON answer from an engine

What callers could see: a chat completion that isn't streamed, cut inside its JSON, with status 200 and a proper end.

An agent asks a stream for its closing event, but took a body without length or chunks for whole when its connection ended, wherever that was.

Change: the agent follows the nesting of the JSON body, and an answer that ends inside it is a failed run, checked for a crash as others are. Other readers of such bodies need no change: answers of the store and of other gateways are parsed as whole JSON, carriers pass bytes on, and the load tool asks for the closing event or parses the body.

Evidence: a server that closes its connection inside a JSON body gave a body without an error before. The new test cuts a body at every byte.

--- a/src/agent/attempt.rs
+++ b/src/agent/attempt.rs
@@ -246,8 +246,8 @@
     }
 }
 
-/// Stores the body of a response as the answer, as it arrives, and reads the token usage from it. A
-/// stream without a closing event is a failure.
+/// Stores the body of a response as the answer, as it arrives, and reads the token usage from it. An
+/// answer of an engine without its end is a failure.
 async fn relay(
     agent: &Arc<Agent>,
     req: &run::RunRequest,
@@ -267,8 +267,8 @@
         }
     }
     let plain = !req.path.is_empty();
-    if req.stream && !plain && failure.is_none() && !usage_parser.is_finished() {
-        failure = Some("the stream has no end".to_owned());
+    if !plain && failure.is_none() && !usage_parser.is_complete(req.stream) {
+        failure = Some("the answer has no end".to_owned());
     }
     let usage = usage_parser.finish();
     let tokens = usage.map(|usage| usage.prompt_tokens.saturating_add(usage.completion_tokens));
--- a/tests/broken_streams.rs
+++ b/tests/broken_streams.rs
@@ -12,6 +12,7 @@
 };
 
 use fulmarproxy::{
+    agent::usage,
     standin::scripted_server::{self, ReceivedRequest, Step},
     transport::h1::body::Framing,
 };
@@ -230,3 +231,17 @@
         });
     }
 }
+
+/// Guards against an agent that takes the end of a connection for the end of an engine's JSON body.
+#[test]
+fn a_json_answer_that_is_cut_anywhere_has_no_end() {
+    let body = r#"{"choices": [{"message": {"content": "a \" } ] \\"}}],
+        "usage": {"prompt_tokens": 3, "completion_tokens": 4}}"#;
+    for len in 0..=body.len() {
+        let mut parser = usage::UsageParser::default();
+        for piece in body.as_bytes()[..len].chunks(7) {
+            parser.read(piece);
+        }
+        assert_eq!(parser.is_complete(false), len == body.len(), "cut at {len}");
+    }
+}
