Log the prompt parts of requests that ran at a crash

Cause: the line about a request that was running when its server crashed named the hash of the request alone. Which parts the prompts of such requests share could not be seen, so a part that is present at each crash was not recognisable.

Change: the line names the route and the ids of the parts. Behaviour is unchanged.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -32,7 +32,9 @@
     pub route: Arc<deployment::Route>,
     /// Service to which the request is sent.
     pub service: Arc<deployment::Service>,
-    /// Prompt, as the request names its parts.
+    /// Parts of the prompt, as the request names them.
+    pub parts: Vec<headers::PromptPart>,
+    /// Prompt, for the choice of servers.
     pub prompt: placement::Prompt,
     /// Tokens that the request needs.
     pub token_need: headers::TokenNeed,
@@ -116,7 +118,8 @@
             .retry_after(UNAVAILABLE_RETRY_AFTER)
     })?;
     let token_need = headers::token_need(&head.headers).unwrap_or_default();
-    let prompt = prompt(&headers::prompt_parts(&head.headers), token_need.input);
+    let parts = headers::prompt_parts(&head.headers);
+    let prompt = prompt(&parts, token_need.input);
     let priority = workspace.as_ref().and_then(|workspace| workspace.priority);
     let priority = priority.unwrap_or(route.priority).min(9);
     let priority = service.engine.as_ref().map(|_| priority);
@@ -127,8 +130,8 @@
         .unwrap_or_default()
         .to_owned();
     let caller = workspace.as_ref().map_or("", |workspace| &*workspace.name);
-    let parts = [head.method.as_bytes(), head.target.as_bytes(), &body];
-    let fingerprint = crashes::fingerprint(caller, &parts);
+    let sent = [head.method.as_bytes(), head.target.as_bytes(), &body];
+    let fingerprint = crashes::fingerprint(caller, &sent);
     Ok(Admitted {
         outgoing: OutgoingRequest {
             id,
@@ -140,6 +143,7 @@
         },
         route: route.clone(),
         service,
+        parts,
         prompt,
         token_need,
         received,
--- a/src/gateway/crash_reports.rs
+++ b/src/gateway/crash_reports.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     coordination::{crashes, suspects},
-    gateway::{core, crash_notes, exchange, peer_rpc},
+    gateway::{admission, core, crash_notes, exchange, peer_rpc},
     platform::store,
     state::server,
     transport::h1::dial,
@@ -97,17 +97,23 @@
 pub fn record_crash(
     gw: &Rc<core::Gateway>,
     server: &server::Server,
-    fingerprint: u64,
+    req: &admission::Admitted,
     sent: Duration,
 ) {
-    let id = &server.id;
+    let (id, fingerprint) = (&server.id, req.outgoing.fingerprint);
     let mut suspects = gw.crash_notes.suspects.borrow_mut();
     let Some(crashes) = suspects.record_crash(fingerprint, sent, gw.now()) else {
         return;
     };
     drop(suspects);
     counter!("fulmar_gateway_crash_suspects_total").increment(1);
-    tracing::info!(%id, fingerprint, crashes, "crashes: a server ended while it ran a request");
+    let parts: Vec<_> = req
+        .parts
+        .iter()
+        .map(|part| format!("{:x}", part.id))
+        .collect();
+    let (route, parts) = (&req.route.name, parts.join(","));
+    tracing::info!(%id, fingerprint, %route, parts, crashes, "crashes: a server ended while it ran a request");
     gw.crash_notes.changed.notify(usize::MAX);
     if crashes == suspects::REFUSAL_THRESHOLD {
         tracing::warn!(fingerprint, "crashes: the request is refused from now on");
--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -122,12 +122,12 @@
             AttemptOutcome::Failed(cause) => (cause, false),
             AttemptOutcome::Disconnected(cause) => {
                 if crash_reports::has_crashed(gw, server).await {
-                    crash_reports::record_crash(gw, server, fingerprint, started);
+                    crash_reports::record_crash(gw, server, req, started);
                 }
                 (cause, false)
             }
             AttemptOutcome::Crashed(cause) => {
-                crash_reports::record_crash(gw, server, fingerprint, started);
+                crash_reports::record_crash(gw, server, req, started);
                 (cause, false)
             }
             AttemptOutcome::ServerFailed(answer) => {
