Split the counting of crashes into keys, one suspect and all suspects

A report of a message is also kept well within the size limit of messages, at forty keys with eight crashes each, and the refusal says that a part of the prompt may be the cause. Behaviour is unchanged otherwise.

--- a/src/coordination.rs
+++ b/src/coordination.rs
@@ -37,6 +37,8 @@
 pub mod share;
 pub mod slots;
 pub mod store_route;
+pub mod suspect;
+pub mod suspect_keys;
 pub mod suspects;
 pub mod waiting;
 pub mod watch_pacing;
--- a/src/coordination/suspects.rs
+++ b/src/coordination/suspects.rs
@@ -9,43 +9,14 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use serde::{Deserialize, Serialize};
-
 use crate::{
-    coordination::crashes::{self, CRASH_RETENTION},
+    coordination::{crashes, suspect, suspect_keys},
     state::{name, server},
 };
 
-/// Number of crashes from which on a request is refused, by its whole or by the last part of its
-/// prompt that others may share; they are counted one after the other. The platform allows three, and
-/// a request that ran beside the one at fault is seldom present at so many without ending once in
-/// between.
-pub const REFUSAL_THRESHOLD: usize = 3;
-
-/// Number of crashes for the parts before that one. More requests share them, and they are present
-/// at each crash that a later part of the same prompts causes.
-pub const SHARED_REFUSAL_THRESHOLD: usize = 4;
-
-/// Number of crashes, some at the same time, from which on a request is refused by any part. The
-/// platform allows five.
-const TOTAL_REFUSAL_THRESHOLD: usize = 5;
-
-/// Time since the first of them. A part that many requests share is cleared sooner.
-const TOTAL_REFUSAL_TIME: Duration = Duration::from_secs(1);
-
 /// Number of crashes from which on requests with a part run at one server, away from others.
 const ISOLATION_THRESHOLD: usize = 2;
 
-/// Crashes that follow each other sooner are not one after the other: servers that end together, as
-/// in a power failure, have another cause than each of the requests that ran there.
-const CRASH_GAP: Duration = Duration::from_millis(300);
-
-/// Time within which gateways notice the same crash.
-const NOTICE_TIME: Duration = Duration::from_millis(400);
-
-/// Maximum number of crashes that are kept of a key; the newest ones are.
-const MAX_CRASHES: usize = 8;
-
 /// Time after which one refused request is let through, to see whether it still crashes servers.
 /// It doubles with each crash.
 const TRIAL_DELAY: Duration = Duration::from_secs(60);
@@ -57,185 +28,10 @@
 /// them before others.
 const MAX_SUSPECTS: usize = 2048;
 
-/// Keys by which a request is recognised: those of the parts of its prompt that others may share, in
-/// order, and that of the whole request.
-///
-/// ```
-/// use fulmarproxy::coordination::suspects;
-/// let keys = |whole| suspects::Keys::new("model", [1, 2], whole);
-/// assert_eq!(keys(7).as_slice().len(), 3);
-/// assert_eq!(keys(7).as_slice()[..2], keys(8).as_slice()[..2]);
-/// ```
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Keys(Vec<u64>);
-
-impl Keys {
-    /// Keys of a request to a service. `shared_parts` are the ids of the parts, `whole` the
-    /// fingerprint of the request.
-    pub fn new(service: &str, shared_parts: impl IntoIterator<Item = u64>, whole: u64) -> Self {
-        let key = |part: u64| crashes::fingerprint(service, &[&part.to_le_bytes()]);
-        let mut keys: Vec<u64> = Vec::new();
-        for part in shared_parts {
-            if !keys.contains(&key(part)) {
-                keys.push(key(part));
-            }
-        }
-        keys.push(whole);
-        Self(keys)
-    }
-
-    /// The keys, that of the whole request last.
-    pub fn as_slice(&self) -> &[u64] {
-        &self.0
-    }
-
-    /// The keys, the most specific one first, each with the number of keys that are more specific.
-    fn with_distances(&self) -> impl Iterator<Item = (u64, usize)> + '_ {
-        let keys = self.0.iter().rev().enumerate();
-        keys.map(|(distance, key)| (*key, distance))
-    }
-}
-
-/// What a gateway reports about a key.
-#[derive(Clone, Debug, Default, Deserialize, PartialEq, Eq, Serialize)]
-pub struct Report {
-    /// The key.
-    pub key: u64,
-    /// Least number of more specific keys that a request with it had: 0 for that of a whole request.
-    pub distance: usize,
-    /// Crashes since a request with the key last ran to its end: the server and the milliseconds
-    /// that have passed, oldest first.
-    pub crashes: Vec<(u64, u64)>,
-    /// Milliseconds since a request with the key last ran to its end, as far as known.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub cleared_ms: Option<u64>,
-}
-
-impl Report {
-    /// Report of a key of which only is known that it is refused.
-    pub fn refused(key: u64) -> Self {
-        let age_ms = |number: usize| number as u64 * NOTICE_TIME.as_millis() as u64;
-        let crashes = (0..SHARED_REFUSAL_THRESHOLD).rev();
-        Self {
-            key,
-            distance: 0,
-            crashes: crashes
-                .map(|number| (number as u64, age_ms(number)))
-                .collect(),
-            cleared_ms: None,
-        }
-    }
-}
-
-/// Milliseconds since the start of this process; negative for what others report of the time before.
-type Moment = i64;
-
-fn moment(at: Duration) -> Moment {
-    at.as_millis() as Moment
-}
-
-/// A crash of a server that was running a request with a key.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Crash {
-    server: u64,
-    at: Moment,
-}
-
-impl Crash {
-    /// Whether two gateways have noticed the same crash.
-    fn is_same(&self, other: &Self) -> bool {
-        let apart = self.at.abs_diff(other.at);
-        self.server == other.server && u128::from(apart) < NOTICE_TIME.as_millis()
-    }
-}
-
-#[derive(Clone, Debug, Default)]
-struct Suspect {
-    /// Least number of more specific keys that a request with it had.
-    distance: usize,
-    /// Crashes since a request with the key last ran to its end, oldest first.
-    crashes: Vec<Crash>,
-    /// When a request with the key last ran to its end.
-    cleared: Option<Moment>,
-    /// When a refused request was last let through.
-    tried: Option<Duration>,
-    /// Number of the change that set these values.
-    change: u64,
-}
-
-impl Suspect {
-    /// Whether crashes are enough to refuse the key.
-    fn is_enough(&self, crashes: &[Crash], now: Duration) -> bool {
-        let rounds = match self.distance {
-            0 | 1 => REFUSAL_THRESHOLD,
-            _ => SHARED_REFUSAL_THRESHOLD,
-        };
-        let Some(first) = crashes.first() else {
-            return false;
-        };
-        let is_part = self.distance > 0;
-        let is_long = moment(now) - first.at >= moment(TOTAL_REFUSAL_TIME);
-        count_rounds(crashes) >= rounds
-            || is_part && is_long && crashes.len() >= TOTAL_REFUSAL_THRESHOLD
-    }
-
-    /// Whether this key rather than another is the cause of crashes at which both were present.
-    fn outranks(&self, other: &Self) -> bool {
-        let rank = |it: &Self| (it.crashes.len(), std::cmp::Reverse(it.distance));
-        rank(self) > rank(other)
-    }
-
-    /// Adds a crash unless it is known; returns whether it was added.
-    fn add(&mut self, crash: Crash) -> bool {
-        let is_old = self.crashes.len() == MAX_CRASHES && crash.at <= self.crashes[0].at;
-        if is_old || self.crashes.iter().any(|it| it.is_same(&crash)) {
-            return false;
-        }
-        let at = self.crashes.partition_point(|it| it.at <= crash.at);
-        self.crashes.insert(at, crash);
-        if self.crashes.len() > MAX_CRASHES {
-            self.crashes.remove(0);
-        }
-        true
-    }
-
-    /// Takes over that a request ran to its end at a time; returns whether this removed a crash.
-    fn clear(&mut self, at: Moment) -> bool {
-        let count = self.crashes.len();
-        self.crashes.retain(|crash| crash.at >= at);
-        self.cleared = self.cleared.max(Some(at));
-        self.crashes.len() < count
-    }
-
-    /// Time since the last crash or clearance.
-    fn age(&self, now: Duration) -> Duration {
-        let last = self.crashes.last().map(|crash| crash.at);
-        let since = moment(now) - self.cleared.max(last).unwrap_or(0);
-        Duration::from_millis(since.max(0) as u64)
-    }
-
-    fn is_forgotten(&self, now: Duration) -> bool {
-        self.age(now) >= CRASH_RETENTION
-    }
-}
-
-/// Number of crashes that came one after the other.
-fn count_rounds(crashes: &[Crash]) -> usize {
-    let mut rounds = 0;
-    let mut next = Moment::MIN;
-    for crash in crashes {
-        if crash.at >= next {
-            rounds += 1;
-            next = crash.at + moment(CRASH_GAP);
-        }
-    }
-    rounds
-}
-
 /// Keys of requests that were running when backend servers crashed.
 #[derive(Debug, Default)]
 pub struct Suspects {
-    suspects: HashMap<u64, Suspect>,
+    suspects: HashMap<u64, suspect::Suspect>,
     /// Keys for which isolated requests are running, by server.
     isolated: HashMap<name::Name, Vec<u64>>,
     changes: u64,
@@ -252,8 +48,8 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// use fulmarproxy::coordination::suspects;
-    /// let keys = |whole| suspects::Keys::new("model", [1], whole);
+    /// use fulmarproxy::coordination::{suspect_keys, suspects};
+    /// let keys = |whole| suspect_keys::Keys::new("model", [1], whole);
     /// let mut known = suspects::Suspects::default();
     /// let millis = Duration::from_millis;
     /// assert_eq!(known.record_crash(&keys(7), 1, millis(0), millis(1000)), 1);
@@ -262,7 +58,7 @@
     /// ```
     pub fn record_crash(
         &mut self,
-        keys: &Keys,
+        keys: &suspect_keys::Keys,
         server: u64,
         sent: Duration,
         now: Duration,
@@ -271,18 +67,18 @@
         let refused = self.refused_key(keys, now);
         let counted = keys.with_distances();
         let counted = counted.filter(|(key, _)| refused.is_none_or(|refused| refused == *key));
-        let at = moment(now);
-        let crash = Crash { server, at };
+        let at = suspect::moment(now);
+        let crash = suspect::Crash { server, at };
         let mut highest = 0;
         for (key, distance) in counted {
             let known = self.current(key, now).cloned();
-            let mut suspect = known.unwrap_or_else(|| Suspect {
+            let mut suspect = known.unwrap_or_else(|| suspect::Suspect {
                 distance,
-                ..Suspect::default()
+                ..suspect::Suspect::default()
             });
             suspect.distance = suspect.distance.min(distance);
             let noticed = suspect.crashes.iter().rev().find(|it| it.server == server);
-            if noticed.is_none_or(|it| moment(sent) >= it.at) && suspect.add(crash) {
+            if noticed.is_none_or(|it| suspect::moment(sent) >= it.at) && suspect.add(crash) {
                 highest = highest.max(suspect.crashes.len());
                 self.set(key, suspect);
             }
@@ -295,25 +91,29 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// use fulmarproxy::coordination::suspects;
-    /// let keys = suspects::Keys::new("model", [1], 7);
+    /// use fulmarproxy::coordination::{suspect_keys, suspects};
+    /// let keys = suspect_keys::Keys::new("model", [1], 7);
     /// let mut known = suspects::Suspects::default();
     /// known.record_crash(&keys, 1, Duration::ZERO, Duration::from_secs(1));
     /// let cleared = known.record_success(&keys, Duration::from_secs(2));
     /// assert_eq!(cleared.len(), 2, "the part and the whole");
     /// assert!(known.record_success(&keys, Duration::from_secs(3)).is_empty());
     /// ```
-    pub fn record_success(&mut self, keys: &Keys, now: Duration) -> Vec<(u64, usize)> {
+    pub fn record_success(
+        &mut self,
+        keys: &suspect_keys::Keys,
+        now: Duration,
+    ) -> Vec<(u64, usize)> {
         let mut cleared = Vec::new();
         for key in keys.as_slice() {
             let Some(known) = self.current(*key, now) else {
                 continue;
             };
             cleared.push((*key, known.crashes.len()));
-            let suspect = Suspect {
+            let suspect = suspect::Suspect {
                 distance: known.distance,
-                cleared: Some(moment(now)),
-                ..Suspect::default()
+                cleared: Some(suspect::moment(now)),
+                ..suspect::Suspect::default()
             };
             self.set(*key, suspect);
         }
@@ -321,13 +121,13 @@
     }
 
     /// Merges what another gateway reports.
-    pub fn merge(&mut self, report: &Report, now: Duration) {
-        let before = |ms: u64| moment(now).saturating_sub_unsigned(ms);
+    pub fn merge(&mut self, report: &suspect::Report, now: Duration) {
+        let before = |ms: u64| suspect::moment(now).saturating_sub_unsigned(ms);
         let is_known = self.suspects.contains_key(&report.key);
         let known = self.suspects.get(&report.key).cloned();
-        let mut suspect = known.unwrap_or_else(|| Suspect {
+        let mut suspect = known.unwrap_or_else(|| suspect::Suspect {
             distance: report.distance,
-            ..Suspect::default()
+            ..suspect::Suspect::default()
         });
         suspect.distance = suspect.distance.min(report.distance);
         let cleared = suspect.cleared;
@@ -336,11 +136,11 @@
             _ => false,
         };
         for (server, age_ms) in &report.crashes {
-            let crash = Crash {
+            let crash = suspect::Crash {
                 server: *server,
                 at: before(*age_ms),
             };
-            let is_recent = Duration::from_millis(*age_ms) < CRASH_RETENTION;
+            let is_recent = Duration::from_millis(*age_ms) < crashes::CRASH_RETENTION;
             if is_recent && cleared.is_none_or(|at| crash.at >= at) {
                 is_news |= suspect.add(crash);
             }
@@ -355,8 +155,8 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// use fulmarproxy::coordination::suspects;
-    /// let keys = |whole| suspects::Keys::new("model", [1], whole);
+    /// use fulmarproxy::coordination::{suspect_keys, suspects};
+    /// let keys = |whole| suspect_keys::Keys::new("model", [1], whole);
     /// let seconds = Duration::from_secs;
     /// let mut known = suspects::Suspects::default();
     /// for second in 1..=3 {
@@ -367,11 +167,19 @@
     /// assert!(!known.refuses(&keys(9), seconds(70), |_| true), "a trial");
     /// assert!(known.refuses(&keys(9), seconds(70), |_| false), "made elsewhere");
     /// ```
-    pub fn refuses(&self, keys: &Keys, now: Duration, tries: impl Fn(u64) -> bool) -> bool {
+    pub fn refuses(
+        &self,
+        keys: &suspect_keys::Keys,
+        now: Duration,
+        tries: impl Fn(u64) -> bool,
+    ) -> bool {
         self.refused_keys(keys, now).any(|key| {
             let suspect = &self.suspects[&key];
-            let further = suspect.crashes.len().saturating_sub(REFUSAL_THRESHOLD);
-            let delay = TRIAL_DELAY * 2_u32.pow(further.min(MAX_CRASHES) as u32);
+            let further = suspect
+                .crashes
+                .len()
+                .saturating_sub(suspect::REFUSAL_THRESHOLD);
+            let delay = TRIAL_DELAY * 2_u32.pow(further.min(suspect::MAX_CRASHES) as u32);
             let is_due = suspect.age(now) >= delay;
             let is_tried = suspect.tried.is_some_and(|at| now < at + TRIAL_TIME);
             !is_due || is_tried || !tries(key)
@@ -379,7 +187,7 @@
     }
 
     /// Records that a request is sent for the first time. If it is refused otherwise, this is a trial.
-    pub fn begin_trial(&mut self, keys: &Keys, now: Duration) {
+    pub fn begin_trial(&mut self, keys: &suspect_keys::Keys, now: Duration) {
         let refused: Vec<u64> = self.refused_keys(keys, now).collect();
         for key in refused {
             if let Some(suspect) = self.suspects.get_mut(&key) {
@@ -389,11 +197,15 @@
     }
 
     /// The key for which a request is refused, but for trials; that which the fewest requests share.
-    pub fn refused_key(&self, keys: &Keys, now: Duration) -> Option<u64> {
+    pub fn refused_key(&self, keys: &suspect_keys::Keys, now: Duration) -> Option<u64> {
         self.refused_keys(keys, now).next()
     }
 
-    fn refused_keys<'a>(&'a self, keys: &'a Keys, now: Duration) -> impl Iterator<Item = u64> + 'a {
+    fn refused_keys<'a>(
+        &'a self,
+        keys: &'a suspect_keys::Keys,
+        now: Duration,
+    ) -> impl Iterator<Item = u64> + 'a {
         let refused = keys.with_distances().filter(move |(key, _)| {
             let known = self.current(*key, now);
             known.is_some_and(|known| self.is_refused(known, now))
@@ -402,21 +214,21 @@
     }
 
     /// Whether a key is refused for the crashes that no other key explains.
-    fn is_refused(&self, suspect: &Suspect, now: Duration) -> bool {
+    fn is_refused(&self, suspect: &suspect::Suspect, now: Duration) -> bool {
         if !suspect.is_enough(&suspect.crashes, now) {
             return false;
         }
-        let explains = |other: &&Suspect| {
+        let explains = |other: &&suspect::Suspect| {
             other.outranks(suspect)
                 && !other.is_forgotten(now)
                 && other.is_enough(&other.crashes, now)
         };
-        let others: Vec<&Suspect> = self.suspects.values().filter(explains).collect();
-        let is_unexplained = |crash: &&Crash| {
+        let others: Vec<&suspect::Suspect> = self.suspects.values().filter(explains).collect();
+        let is_unexplained = |crash: &&suspect::Crash| {
             let mut crashes = others.iter().flat_map(|other| &other.crashes);
             !crashes.any(|it| it.is_same(crash))
         };
-        let unexplained: Vec<Crash> = suspect
+        let unexplained: Vec<suspect::Crash> = suspect
             .crashes
             .iter()
             .filter(is_unexplained)
@@ -426,7 +238,7 @@
     }
 
     /// The key for which a request runs away from others, if any: the one with the most crashes.
-    pub fn isolation_key(&self, keys: &Keys, now: Duration) -> Option<u64> {
+    pub fn isolation_key(&self, keys: &suspect_keys::Keys, now: Duration) -> Option<u64> {
         let whole = keys.as_slice().last();
         let counts = keys.as_slice().iter().filter_map(|key| {
             let crashes = self.current(*key, now)?.crashes.len();
@@ -469,7 +281,12 @@
 
     /// Counts and clearances that were changed after change number `after`, oldest change first, at
     /// most `limit` of them, and the number of the last one that they cover.
-    pub fn changes_after(&self, after: u64, limit: usize, now: Duration) -> (Vec<Report>, u64) {
+    pub fn changes_after(
+        &self,
+        after: u64,
+        limit: usize,
+        now: Duration,
+    ) -> (Vec<suspect::Report>, u64) {
         let mut changed: Vec<_> = self.suspects.iter().collect();
         changed.retain(|(_, suspect)| suspect.change > after && !suspect.is_forgotten(now));
         changed.sort_by_key(|(_, suspect)| suspect.change);
@@ -478,32 +295,33 @@
             None => self.changes,
         };
         let reports = changed.into_iter().take(limit);
-        let reports = reports.map(|(key, suspect)| report(*key, suspect, now));
+        let reports = reports.map(|(key, suspect)| suspect.report(*key, now));
         (reports.collect(), covered)
     }
 
     /// The counts for a gateway that has started, at most `limit` of them; the highest come first.
-    pub fn highest(&self, limit: usize, now: Duration) -> Vec<Report> {
+    pub fn highest(&self, limit: usize, now: Duration) -> Vec<suspect::Report> {
         let mut counted: Vec<_> = self.suspects.iter().collect();
         counted.retain(|(_, it)| !it.crashes.is_empty() && !it.is_forgotten(now));
         counted.sort_by_key(|(_, it)| std::cmp::Reverse((it.crashes.len(), it.change)));
         let counted = counted.into_iter().take(limit);
         counted
-            .map(|(key, suspect)| report(*key, suspect, now))
+            .map(|(key, suspect)| suspect.report(*key, now))
             .collect()
     }
 
-    fn current(&self, key: u64, now: Duration) -> Option<&Suspect> {
+    fn current(&self, key: u64, now: Duration) -> Option<&suspect::Suspect> {
         let known = self.suspects.get(&key);
         known.filter(|known| !known.crashes.is_empty() && !known.is_forgotten(now))
     }
 
-    fn set(&mut self, key: u64, mut suspect: Suspect) {
+    fn set(&mut self, key: u64, mut suspect: suspect::Suspect) {
         self.changes += 1;
         suspect.change = self.changes;
         self.suspects.insert(key, suspect);
         if self.suspects.len() > MAX_SUSPECTS {
-            let least = |(_, known): &(&u64, &Suspect)| (known.crashes.len(), known.change);
+            let least =
+                |(_, known): &(&u64, &suspect::Suspect)| (known.crashes.len(), known.change);
             let least = self.suspects.iter().min_by_key(least);
             if let Some((&least, _)) = least {
                 self.suspects.remove(&least);
@@ -511,14 +329,3 @@
         }
     }
 }
-
-fn report(key: u64, suspect: &Suspect, now: Duration) -> Report {
-    let age_ms = |at: Moment| moment(now).saturating_sub(at).max(0) as u64;
-    let crashes = suspect.crashes.iter();
-    Report {
-        key,
-        distance: suspect.distance,
-        crashes: crashes.map(|it| (it.server, age_ms(it.at))).collect(),
-        cleared_ms: suspect.cleared.map(age_ms),
-    }
-}
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     code::Code,
-    coordination::{crashes, placement, suspects},
+    coordination::{crashes, placement, suspect_keys},
     gateway::{core, exchange::OutgoingRequest, refusal::Refusal},
     platform::headers,
     state::deployment,
@@ -130,7 +130,7 @@
     let caller = workspace.as_ref().map_or("", |workspace| &*workspace.name);
     let sent = [head.method.as_bytes(), head.target.as_bytes(), &body];
     let shared = shared_parts(&parts).iter().map(|part| part.id);
-    let keys = suspects::Keys::new(&service.name, shared, crashes::fingerprint(caller, &sent));
+    let keys = suspect_keys::Keys::new(&service.name, shared, crashes::fingerprint(caller, &sent));
     Ok(Admitted {
         outgoing: OutgoingRequest {
             id,
--- a/src/gateway/crash_notes.rs
+++ b/src/gateway/crash_notes.rs
@@ -2,10 +2,10 @@
 
 use std::{cell::RefCell, collections::HashMap, time::Duration};
 
-use crate::coordination::suspects;
+use crate::coordination::{suspect, suspects};
 
 /// Maximum number of counts in one message, which must not exceed the size limit of messages.
-pub const MAX_REPORTS: usize = 50;
+pub const MAX_REPORTS: usize = 40;
 
 /// Suspects, and which gateway has been told of them.
 #[derive(Default)]
@@ -20,7 +20,7 @@
 
 impl CrashNotes {
     /// Merges the counts of another gateway.
-    pub fn merge(&self, reports: &[suspects::Report], now: Duration) {
+    pub fn merge(&self, reports: &[suspect::Report], now: Duration) {
         let mut suspects = self.suspects.borrow_mut();
         for report in reports {
             suspects.merge(report, now);
@@ -28,7 +28,7 @@
     }
 
     /// Counts for a gateway that has started; the highest come first.
-    pub fn reports(&self, now: Duration) -> Vec<suspects::Report> {
+    pub fn reports(&self, now: Duration) -> Vec<suspect::Report> {
         let suspects = self.suspects.borrow();
         suspects.highest(MAX_REPORTS, now)
     }
--- a/src/gateway/crash_reports.rs
+++ b/src/gateway/crash_reports.rs
@@ -9,7 +9,7 @@
 use metrics::counter;
 
 use crate::{
-    coordination::{rendezvous, suspects},
+    coordination::{rendezvous, suspect, suspect_keys, suspects},
     gateway::{core, crash_notes, exchange, peer_rpc},
     platform::store,
     state::server,
@@ -47,7 +47,7 @@
     pub fn new(
         gw: &'a core::Gateway,
         server: &'a server::Server,
-        keys: &suspects::Keys,
+        keys: &suspect_keys::Keys,
     ) -> Option<Self> {
         let mut suspects = gw.crash_notes.suspects.borrow_mut();
         let key = suspects.isolation_key(keys, gw.now())?;
@@ -65,7 +65,7 @@
 
 /// Whether a request must not be sent because servers crashed each time that it, or others with a
 /// part of its prompt, ran. One gateway lets requests through from time to time, as trials.
-pub fn refuses(gw: &core::Gateway, keys: &suspects::Keys) -> bool {
+pub fn refuses(gw: &core::Gateway, keys: &suspect_keys::Keys) -> bool {
     let suspects = gw.crash_notes.suspects.borrow();
     suspects.refuses(keys, gw.now(), |key| makes_trials(gw, key))
 }
@@ -144,7 +144,7 @@
 }
 
 /// Records that a request ran to its end, which clears its keys in the whole fleet.
-pub fn record_success(gw: &Rc<core::Gateway>, keys: &suspects::Keys) {
+pub fn record_success(gw: &Rc<core::Gateway>, keys: &suspect_keys::Keys) {
     let mut suspects = gw.crash_notes.suspects.borrow_mut();
     let cleared = suspects.record_success(keys, gw.now());
     drop(suspects);
@@ -155,7 +155,7 @@
     gw.crash_notes.changed.notify(usize::MAX);
     let refused = cleared
         .iter()
-        .filter(|(_, crashes)| *crashes >= suspects::REFUSAL_THRESHOLD);
+        .filter(|(_, crashes)| *crashes >= suspect::REFUSAL_THRESHOLD);
     let deletes: Vec<_> = refused
         .map(|(key, crashes)| {
             tracing::info!(key, crashes, "crashes: cleared, a request ran to its end");
@@ -238,7 +238,7 @@
     let refused = read.items.iter().filter_map(|item| {
         let key = item.key.strip_prefix(PREFIX)?;
         let key = u64::from_str_radix(key, 16).ok()?;
-        Some(suspects::Report::refused(key))
+        Some(suspect::Report::refused(key))
     });
     let refused: Vec<_> = refused.collect();
     gw.crash_notes.merge(&refused, gw.now());
@@ -285,8 +285,8 @@
 async fn send(
     gw: &core::Gateway,
     peer: SocketAddr,
-    reports: Vec<suspects::Report>,
-) -> Option<Vec<suspects::Report>> {
+    reports: Vec<suspect::Report>,
+) -> Option<Vec<suspect::Report>> {
     match peer_rpc::exchange_crashes(gw, peer, reports).await {
         Ok(reports) => Some(reports),
         Err(cause) => {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -6,7 +6,7 @@
 use metrics::counter;
 
 use crate::{
-    coordination::{announcements, placement, suspects},
+    coordination::{announcements, placement, suspect_keys},
     gateway::core,
     platform::headers,
     state::{deployment, name, server},
@@ -42,7 +42,7 @@
     /// Parts of the prompt, as the request names them.
     pub parts: Vec<headers::PromptPart>,
     /// Keys by which crashes of servers are counted.
-    pub keys: suspects::Keys,
+    pub keys: suspect_keys::Keys,
 }
 
 /// A server's response, of which the head has been read.
--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -167,7 +167,8 @@
     retry_windows.take_retry(service, gw.retry_allowance(), routers, gw.now())
 }
 
-const CRASH_MESSAGE: &str = "backend servers crashed each time that the same request ran";
+const CRASH_MESSAGE: &str =
+    "backend servers crashed each time that the request, or others with a part of its prompt, ran";
 
 /// Refusal of a request that crashes backend servers. Its status invites no repeat.
 pub fn crash_refusal() -> Refusal {
--- a/src/gateway/peer_rpc.rs
+++ b/src/gateway/peer_rpc.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use crate::{
-    coordination::{share, suspects},
+    coordination::{share, suspect},
     gateway::core,
     state::name,
     transport::h1::{accept, body, conn, dial, fault, head},
@@ -65,7 +65,7 @@
     },
     /// Tells which requests were running at crashes of backend servers; the reply is what the other
     /// router knows of such.
-    Crashes(Vec<suspects::Report>),
+    Crashes(Vec<suspect::Report>),
     /// Asks for the state of the router; the reply is a JSON object for operators.
     Status,
 }
@@ -162,8 +162,8 @@
 pub async fn exchange_crashes(
     gw: &core::Gateway,
     peer: SocketAddr,
-    reports: Vec<suspects::Report>,
-) -> Result<Vec<suspects::Report>, String> {
+    reports: Vec<suspect::Report>,
+) -> Result<Vec<suspect::Report>, String> {
     let call = Call::Crashes(reports);
     let answered = gw
         .timers
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -20,7 +20,11 @@
     placed_fleet::{call, put, start_gateway, start_store},
 };
 use fulmarproxy::{
-    coordination::suspects::{Keys, REFUSAL_THRESHOLD, Report, Suspects},
+    coordination::{
+        suspect::{REFUSAL_THRESHOLD, Report},
+        suspect_keys::Keys,
+        suspects::Suspects,
+    },
     standin::scripted_server,
 };
 use gateway_world::{configuration, request_text};
--- a/tests/poisoned_parts.rs
+++ b/tests/poisoned_parts.rs
@@ -5,10 +5,7 @@
 
 use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
 
-use fulmarproxy::coordination::{
-    rendezvous,
-    suspects::{Keys, Suspects},
-};
+use fulmarproxy::coordination::{rendezvous, suspect_keys::Keys, suspects::Suspects};
 
 /// Crashes after which the platform counts further runs, and how many of these it allows when sent
 /// later than this after the last of them.
