--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -351,6 +351,58 @@
     assert_eq!(suspects.highest(1, now)[0].key, 7);
 }
 
+/// Keys of a request with the parts 1 and 2, and one of its own.
+fn with_parts(number: u64) -> Keys {
+    Keys::new("model", [1, 2], 1000 + number)
+}
+
+/// Guards against a part that one gateway refuses though others serve it all the time.
+#[test]
+fn a_part_that_another_gateway_serves_is_not_refused_where_servers_crash() {
+    let (mut one, mut other) = (Suspects::default(), Suspects::default());
+    for second in 1..100 {
+        let now = Duration::from_secs(second);
+        one.record_crash(&with_parts(second), second, now, now);
+        let told = one.changes_after(0, usize::MAX, now).0;
+        told.iter().for_each(|report| other.merge(report, now));
+        if second % 2 == 0 {
+            let later = now + Duration::from_millis(100);
+            other.record_success(&with_parts(0), later);
+            let told = other.changes_after(0, usize::MAX, later).0;
+            told.iter().for_each(|report| one.merge(report, later));
+        }
+        let asked = now + Duration::from_millis(500);
+        assert!(!one.refuses(&with_parts(0), asked, |_| false), "{second}");
+        assert!(!other.refuses(&with_parts(0), asked, |_| false), "{second}");
+    }
+}
+
+/// Guards against refusing a part for good, and against a crash for each request that tries it.
+#[test]
+fn a_refused_part_is_tried_by_one_request_at_a_time_and_less_and_less_often() {
+    let mut suspects = Suspects::default();
+    for second in 1..=3 {
+        let now = Duration::from_secs(second);
+        suspects.record_crash(&with_parts(second), second, now, now);
+    }
+    let mut trials = Vec::new();
+    for second in 4..500 {
+        let now = Duration::from_secs(second);
+        for _ in 0..3 {
+            if !suspects.refuses(&with_parts(second), now, |_| true) {
+                suspects.begin_trial(&with_parts(second), now);
+                trials.push(second);
+                let crashed = now + Duration::from_millis(300);
+                suspects.record_crash(&with_parts(second), second, now, crashed);
+            }
+        }
+    }
+    assert_eq!(trials, [63, 184, 425]);
+    let now = Duration::from_secs(500);
+    suspects.record_success(&with_parts(7), now);
+    assert!(!suspects.refuses(&with_parts(8), now, |_| false));
+}
+
 /// Guards against taking a lost answer for a crash: the server goes on to accept connections.
 #[test]
 fn a_request_whose_answers_are_lost_is_not_taken_for_one_that_crashes_servers() {
