--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -4,6 +4,7 @@
 pub mod placed;
 pub mod placed_fleet;
 pub mod proxy;
+pub mod seeds;
 pub mod servers;
 
 use std::{
--- a/tests/crash_soak.rs
+++ b/tests/crash_soak.rs
@@ -387,9 +387,5 @@
 /// Guards against broken answers that look complete, and against a part that goes on to crash servers.
 #[test]
 fn broken_streams_and_poisoned_parts_are_noticed_under_disturbances() {
-    let seeds = std::env::var("CRASH_SOAK").unwrap_or("0..3".to_owned());
-    let (from, to) = seeds.split_once("..").unwrap();
-    let seeds = from.parse().unwrap()..to.parse().unwrap();
-    let failed: Vec<String> = seeds.filter_map(|seed| play(seed).err()).collect();
-    assert!(failed.is_empty(), "{}", failed.join("\n"));
+    common::seeds::play("CRASH_SOAK", "0..3", play);
 }
--- a/tests/poisoned_parts.rs
+++ b/tests/poisoned_parts.rs
@@ -3,6 +3,8 @@
 //!
 //! `POISONED_PARTS=100..200 cargo test --test poisoned_parts` plays other seeds.
 
+mod common;
+
 use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
 
 use fulmarproxy::coordination::{rendezvous, suspect_keys::Keys, suspects::Suspects};
@@ -354,9 +356,5 @@
 /// Guards against parts that go on to crash servers, and against refusing sound requests for them.
 #[test]
 fn poisoned_parts_are_stopped_and_sound_requests_are_served() {
-    let seeds = std::env::var("POISONED_PARTS").unwrap_or("0..40".to_owned());
-    let (from, to) = seeds.split_once("..").unwrap();
-    let seeds = from.parse().unwrap()..to.parse().unwrap();
-    let failed: Vec<String> = seeds.filter_map(|seed| play(seed).err()).collect();
-    assert!(failed.is_empty(), "{}", failed.join("\n"));
+    common::seeds::play("POISONED_PARTS", "0..40", play);
 }
