--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -2,7 +2,7 @@
 //!
 //! The platform's store holds the configuration, the list of backend servers and the ledgers of
 //! budgets. The main modules, each of which uses only those listed after it, are [`front`],
-//! [`request`], [`admission`], [`forwarding`], [`request_log`], [`relay`], [`crash_reports`],
+//! [`request`], [`admission`], [`forwarding`], [`request_log`], [`relay`], [`choosing`], [`crash_reports`],
 //! [`exchange`], [`meter`], [`replenishing`], [`budget`], [`ledger`], [`peer_rpc`], [`config_sync`],
 //! [`directory`], [`fleet`] and [`core`].
 
@@ -15,6 +15,7 @@
 
 pub mod admission;
 pub mod budget;
+pub mod choosing;
 pub mod config_sync;
 pub mod core;
 pub mod crash_notes;
--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -9,7 +9,7 @@
     coordination::{attempts, placement},
     gateway::{
         admission::{Admitted, UNAVAILABLE_RETRY_AFTER},
-        core, crash_reports, directory, exchange,
+        choosing, core, crash_reports, exchange,
         refusal::Refusal,
         relay, request_log,
     },
@@ -82,10 +82,14 @@
                 false => crash_refusal().into(),
             });
         }
-        let placed = match choose_server(gw, req, &attempts) {
-            Choice::Placed(placed) => placed,
-            Choice::AllClosed(opens_at) => return Err(closed_error(gw, stream, opens_at)),
-            Choice::None => return Err(final_error(stream, "no backend server is available")),
+        let placed = match choosing::choose_server(gw, req, &attempts) {
+            choosing::Choice::Placed(placed) => placed,
+            choosing::Choice::AllClosed(opens_at) => {
+                return Err(closed_error(gw, stream, opens_at));
+            }
+            choosing::Choice::None => {
+                return Err(final_error(stream, "no backend server is available"));
+            }
         };
         // A process that was held up may find both the close and the next step ready at once.
         if caller.is_closed() {
@@ -205,38 +209,6 @@
         .into()
 }
 
-/// Where the next attempt at a request goes.
-enum Choice {
-    Placed(placement::Placed),
-    /// Every ready server has named a time; the earliest one.
-    AllClosed(Duration),
-    /// The service has no ready server.
-    None,
-}
-
-/// Chooses the server for the next attempt.
-fn choose_server(gw: &core::Gateway, req: &Admitted, attempts: &attempts::Attempts) -> Choice {
-    let ready = directory::ready_servers(gw, &req.service.name);
-    let now = gw.now();
-    let open = gw.announcements.borrow().open(&ready, now);
-    let (ejection, placement) = (gw.ejection.borrow(), gw.placement.borrow());
-    let suspects = gw.crash_notes.suspects.borrow();
-    let isolation = suspects.isolation_key(&req.outgoing.keys, now);
-    let chosen = attempts.choose_server(
-        &open.servers,
-        |id| ejection.admits(id, now) && suspects.is_apart(id, isolation),
-        |servers| match isolation {
-            Some(key) => placement.choose_one(servers, &req.prompt, key),
-            None => placement.choose_server(servers, &req.prompt, fastrand::u64(..)),
-        },
-    );
-    match (chosen, open.opens_at) {
-        (Some(placed), _) => Choice::Placed(placed),
-        (None, Some(opens_at)) => Choice::AllClosed(opens_at),
-        (None, None) => Choice::None,
-    }
-}
-
 /// How one attempt ended; the texts are causes.
 enum AttemptOutcome {
     /// The whole response, with this status, was relayed.
