Run requests that were present at crashes one at a time

The count of crashes was right but late: each gateway had sent more before the next crash was known.

After one crash a request now runs once at a time at each gateway, and after three alone in the fleet: one gateway for a service sends its suspects one after the other, away from other suspects, and a crash there counts even if it follows another within 0.3 s. Others are told to come back.

--- a/src/coordination/suspect.rs
+++ b/src/coordination/suspect.rs
@@ -43,6 +43,10 @@
     /// Crashes since a request with the key last ran to its end: the server and the milliseconds
     /// that have passed, oldest first.
     pub crashes: Vec<(u64, u64)>,
+    /// Whether the request ran alone at each of these crashes; gateways of earlier builds leave it
+    /// out.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub alone: Vec<bool>,
     /// Milliseconds since a request with the key last ran to its end, as far as known.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub cleared_ms: Option<u64>,
@@ -68,6 +72,7 @@
             crashes: crashes
                 .map(|number| (number as u64, age_ms(number)))
                 .collect(),
+            alone: Vec::new(),
             cleared_ms: None,
         }
     }
@@ -87,6 +92,8 @@
     pub(super) server: u64,
     /// When it ended.
     pub(super) at: Moment,
+    /// Whether no other copy of the request ran at that moment in the fleet, as far as known.
+    pub(super) is_alone: bool,
 }
 
 impl Crash {
@@ -124,10 +131,24 @@
         };
         let is_part = self.distance > 0;
         let is_long = moment(now) - first.at >= moment(TOTAL_REFUSAL_TIME);
-        count_rounds(crashes) >= rounds
+        Self::count_rounds(crashes) >= rounds
             || is_part && is_long && crashes.len() >= TOTAL_REFUSAL_THRESHOLD
     }
 
+    /// Number of crashes that came one after the other; those at which the request ran alone also
+    /// when they follow another one soon.
+    fn count_rounds(crashes: &[Crash]) -> usize {
+        let mut rounds = 0;
+        let mut next = Moment::MIN;
+        for crash in crashes {
+            if crash.at >= next || crash.is_alone {
+                rounds += 1;
+                next = crash.at + moment(CRASH_GAP);
+            }
+        }
+        rounds
+    }
+
     /// Whether this key rather than another is the cause of crashes at which both were present.
     pub(super) fn outranks(&self, other: &Self) -> bool {
         let rank = |it: &Self| (it.crashes.len(), std::cmp::Reverse(it.distance));
@@ -175,21 +196,12 @@
         Report {
             key,
             distance: self.distance,
-            crashes: crashes.map(|it| (it.server, age_ms(it.at))).collect(),
+            crashes: crashes
+                .clone()
+                .map(|it| (it.server, age_ms(it.at)))
+                .collect(),
+            alone: crashes.map(|it| it.is_alone).collect(),
             cleared_ms: self.cleared.map(age_ms),
         }
     }
 }
-
-/// Number of crashes that came one after the other.
-fn count_rounds(crashes: &[Crash]) -> usize {
-    let mut rounds = 0;
-    let mut next = Moment::MIN;
-    for crash in crashes {
-        if crash.at >= next {
-            rounds += 1;
-            next = crash.at + moment(CRASH_GAP);
-        }
-    }
-    rounds
-}
--- a/src/coordination/suspect_keys.rs
+++ b/src/coordination/suspect_keys.rs
@@ -12,7 +12,10 @@
 /// assert_eq!(keys(7).as_slice()[..2], keys(8).as_slice()[..2]);
 /// ```
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Keys(Vec<u64>);
+pub struct Keys {
+    service: u64,
+    keys: Vec<u64>,
+}
 
 impl Keys {
     /// Keys of a request to a service. `shared_parts` are the ids of the parts, `whole` the
@@ -26,17 +29,30 @@
             }
         }
         keys.push(whole);
-        Self(keys)
+        Self {
+            service: crashes::fingerprint(service, &[]),
+            keys,
+        }
     }
 
     /// The keys, that of the whole request last.
     pub fn as_slice(&self) -> &[u64] {
-        &self.0
+        &self.keys
+    }
+
+    /// Number that stands for the service.
+    pub fn service(&self) -> u64 {
+        self.service
+    }
+
+    /// The key of the whole request.
+    pub fn whole(&self) -> u64 {
+        self.keys.last().copied().unwrap_or_default()
     }
 
     /// The keys, the most specific one first, each with the number of keys that are more specific.
     pub fn with_distances(&self) -> impl Iterator<Item = (u64, usize)> + '_ {
-        let keys = self.0.iter().rev().enumerate();
+        let keys = self.keys.iter().rev().enumerate();
         keys.map(|(distance, key)| (*key, distance))
     }
 }
--- a/src/coordination/suspects.rs
+++ b/src/coordination/suspects.rs
@@ -7,7 +7,7 @@
 //! request with it runs to its end at any gateway: what crashes servers never does. Gateways
 //! exchange counts and clearances, since requests with the same key come to any of them.
 
-use std::{collections::HashMap, time::Duration};
+use std::{collections::HashMap, iter, time::Duration};
 
 use crate::{
     coordination::{crashes, suspect, suspect_keys},
@@ -34,9 +34,33 @@
     suspects: HashMap<u64, suspect::Suspect>,
     /// Keys for which isolated requests are running, by server.
     isolated: HashMap<name::Name, Vec<u64>>,
+    /// Requests that are running and were suspects when they were sent.
+    running: Vec<Running>,
     changes: u64,
 }
 
+/// A running request that was a suspect when it was sent.
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    /// Number of the service.
+    service: u64,
+    /// Key of the whole request.
+    key: u64,
+    /// Whether it had been present at so many crashes that it runs alone.
+    is_alone: bool,
+}
+
+/// When a request may be sent that was running at crashes before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Turn {
+    /// At once.
+    Now,
+    /// When one has ended that this gateway is running.
+    Later,
+    /// Only by the gateway at which the suspects of the service run alone.
+    Elsewhere,
+}
+
 /// Number that stands for a run of a server in reports.
 pub fn server_number(server: &server::Server) -> u64 {
     crashes::fingerprint(&server.id, &[&server.started_unix_ms.to_le_bytes()])
@@ -68,7 +92,8 @@
         let counted = keys.with_distances();
         let counted = counted.filter(|(key, _)| refused.is_none_or(|refused| refused == *key));
         let at = suspect::moment(now);
-        let crash = suspect::Crash { server, at };
+        let whole = keys.whole();
+        let is_alone = self.running.iter().any(|it| it.key == whole && it.is_alone);
         let mut highest = 0;
         for (key, distance) in counted {
             let known = self.current(key, now).cloned();
@@ -77,6 +102,11 @@
                 ..suspect::Suspect::default()
             });
             suspect.distance = suspect.distance.min(distance);
+            let crash = suspect::Crash {
+                server,
+                at,
+                is_alone: is_alone && key == whole,
+            };
             let noticed = suspect.crashes.iter().rev().find(|it| it.server == server);
             if noticed.is_none_or(|it| suspect::moment(sent) >= it.at) && suspect.add(crash) {
                 highest = highest.max(suspect.crashes.len());
@@ -135,10 +165,12 @@
             Some(ms) if is_known => suspect.clear(before(ms)),
             _ => false,
         };
-        for (server, age_ms) in &report.crashes {
+        let alone = report.alone.iter().chain(iter::repeat(&false));
+        for ((server, age_ms), is_alone) in report.crashes.iter().zip(alone) {
             let crash = suspect::Crash {
                 server: *server,
                 at: before(*age_ms),
+                is_alone: *is_alone,
             };
             let is_recent = Duration::from_millis(*age_ms) < crashes::CRASH_RETENTION;
             if is_recent && cleared.is_none_or(|at| crash.at >= at) {
@@ -186,6 +218,80 @@
         })
     }
 
+    /// When a request may be sent. One that was present at a crash runs once at a time at each
+    /// gateway, so that copies of it don't end with the next server. After
+    /// [`suspect::REFUSAL_THRESHOLD`] crashes it runs alone in the fleet: one gateway, which `runs`
+    /// names by the number of the service, sends all such requests of the service, one after the
+    /// other.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use fulmarproxy::coordination::{suspect_keys, suspects};
+    /// let keys = suspect_keys::Keys::new("desk", [], 7);
+    /// let mut known = suspects::Suspects::default();
+    /// let crashed = Duration::from_secs(1);
+    /// known.record_crash(&keys, 1, Duration::ZERO, crashed);
+    /// assert_eq!(known.turn(&keys, crashed, |_| false), suspects::Turn::Now);
+    /// known.begin_turn(&keys, "i-1", crashed);
+    /// assert_eq!(known.turn(&keys, crashed, |_| false), suspects::Turn::Later);
+    /// ```
+    pub fn turn(
+        &self,
+        keys: &suspect_keys::Keys,
+        now: Duration,
+        runs: impl Fn(u64) -> bool,
+    ) -> Turn {
+        let (key, service) = (keys.whole(), keys.service());
+        let Some(known) = self.current(key, now) else {
+            return Turn::Now;
+        };
+        if known.age(now) >= TRIAL_DELAY {
+            return Turn::Now;
+        }
+        let runs_alone = self.runs_alone(keys, now);
+        if runs_alone && !runs(service) {
+            return Turn::Elsewhere;
+        }
+        let mut running = self.running.iter();
+        let must_wait =
+            running.any(|it| it.key == key || runs_alone && it.is_alone && it.service == service);
+        match must_wait {
+            true => Turn::Later,
+            false => Turn::Now,
+        }
+    }
+
+    /// Whether a request has been present at so many crashes that it must run alone.
+    pub fn runs_alone(&self, keys: &suspect_keys::Keys, now: Duration) -> bool {
+        let known = self.current(keys.whole(), now);
+        known.is_some_and(|known| known.crashes.len() >= suspect::REFUSAL_THRESHOLD)
+    }
+
+    /// Records that a request is sent; returns whether it is a suspect, and [`Self::end_turn`] must
+    /// follow, once its crash is recorded if there is one.
+    pub fn begin_turn(&mut self, keys: &suspect_keys::Keys, server: &str, now: Duration) -> bool {
+        let key = keys.whole();
+        if self.current(key, now).is_none() {
+            return false;
+        }
+        let isolation = self.isolation_key(keys, now);
+        let is_alone = self.runs_alone(keys, now) && self.is_apart(server, isolation);
+        self.running.push(Running {
+            service: keys.service(),
+            key,
+            is_alone,
+        });
+        true
+    }
+
+    /// Records that a suspect request has ended.
+    pub fn end_turn(&mut self, keys: &suspect_keys::Keys) {
+        let mut running = self.running.iter();
+        if let Some(at) = running.position(|it| it.key == keys.whole()) {
+            self.running.swap_remove(at);
+        }
+    }
+
     /// Records that a request is sent for the first time. If it is refused otherwise, this is a trial.
     pub fn begin_trial(&mut self, keys: &suspect_keys::Keys, now: Duration) {
         let refused: Vec<u64> = self.refused_keys(keys, now).collect();
@@ -215,9 +321,12 @@
 
     /// Whether a key is refused for the crashes that no other key explains.
     fn is_refused(&self, suspect: &suspect::Suspect, now: Duration) -> bool {
-        if !suspect.is_enough(&suspect.crashes, now) {
-            return false;
-        }
+        suspect.is_enough(&suspect.crashes, now)
+            && suspect.is_enough(&self.unexplained(suspect, now), now)
+    }
+
+    /// The crashes of a key that no other refused key explains.
+    fn unexplained(&self, suspect: &suspect::Suspect, now: Duration) -> Vec<suspect::Crash> {
         let explains = |other: &&suspect::Suspect| {
             other.outranks(suspect)
                 && !other.is_forgotten(now)
@@ -228,21 +337,16 @@
             let mut crashes = others.iter().flat_map(|other| &other.crashes);
             !crashes.any(|it| it.is_same(crash))
         };
-        let unexplained: Vec<suspect::Crash> = suspect
-            .crashes
-            .iter()
-            .filter(is_unexplained)
-            .copied()
-            .collect();
-        suspect.is_enough(&unexplained, now)
+        let crashes = suspect.crashes.iter();
+        crashes.filter(is_unexplained).copied().collect()
     }
 
     /// The key for which a request runs away from others, if any: the one with the most crashes.
     pub fn isolation_key(&self, keys: &suspect_keys::Keys, now: Duration) -> Option<u64> {
-        let whole = keys.as_slice().last();
+        let whole = keys.whole();
         let counts = keys.as_slice().iter().filter_map(|key| {
             let crashes = self.current(*key, now)?.crashes.len();
-            let isolates = crashes >= ISOLATION_THRESHOLD || Some(key) == whole;
+            let isolates = crashes >= ISOLATION_THRESHOLD || *key == whole;
             isolates.then_some((crashes, *key))
         });
         counts
--- a/src/gateway/crash_notes.rs
+++ b/src/gateway/crash_notes.rs
@@ -16,6 +16,8 @@
     pub told: RefCell<HashMap<String, u64>>,
     /// Notified when a count has changed here.
     pub changed: event_listener::Event,
+    /// Notified when a request that was running at crashes has ended or may have been cleared.
+    pub turns: event_listener::Event,
 }
 
 impl CrashNotes {
@@ -25,6 +27,7 @@
         for report in reports {
             suspects.merge(report, now);
         }
+        self.turns.notify(usize::MAX);
     }
 
     /// Counts for a gateway that has started; the highest come first.
--- a/src/gateway/crash_reports.rs
+++ b/src/gateway/crash_reports.rs
@@ -35,31 +35,47 @@
 /// Number of gateways that tell their counts to one that has started.
 const ASKED_AT_START: u32 = 2;
 
-/// Marks a request as one that runs at a server away from others, for as long as it lives.
+/// Marks a request that was running at crashes as one that runs at a server, for as long as it lives.
 pub struct IsolationGuard<'a> {
     gw: &'a core::Gateway,
     server: &'a server::Server,
-    key: u64,
+    keys: &'a suspect_keys::Keys,
+    /// Key for which others run elsewhere.
+    isolation: u64,
+    has_turn: bool,
 }
 
 impl<'a> IsolationGuard<'a> {
-    /// Marks the request if it is isolated.
+    /// Marks the request if it is isolated. The guard must live until its crash is recorded, if
+    /// there is one.
     pub fn new(
         gw: &'a core::Gateway,
         server: &'a server::Server,
-        keys: &suspect_keys::Keys,
+        keys: &'a suspect_keys::Keys,
     ) -> Option<Self> {
+        let now = gw.now();
         let mut suspects = gw.crash_notes.suspects.borrow_mut();
-        let key = suspects.isolation_key(keys, gw.now())?;
-        suspects.begin_run(&server.id, key);
-        Some(Self { gw, server, key })
+        let isolation = suspects.isolation_key(keys, now)?;
+        let has_turn = suspects.begin_turn(keys, &server.id, now);
+        suspects.begin_run(&server.id, isolation);
+        Some(Self {
+            gw,
+            server,
+            keys,
+            isolation,
+            has_turn,
+        })
     }
 }
 
 impl Drop for IsolationGuard<'_> {
     fn drop(&mut self) {
         let mut suspects = self.gw.crash_notes.suspects.borrow_mut();
-        suspects.end_run(&self.server.id, self.key);
+        suspects.end_run(&self.server.id, self.isolation);
+        if self.has_turn {
+            suspects.end_turn(self.keys);
+            self.gw.crash_notes.turns.notify(usize::MAX);
+        }
     }
 }
 
@@ -70,11 +86,20 @@
     suspects.refuses(keys, gw.now(), |key| makes_trials(gw, key))
 }
 
+/// When a request may be sent that was running at crashes before.
+pub fn turn(gw: &core::Gateway, keys: &suspect_keys::Keys) -> suspects::Turn {
+    let suspects = gw.crash_notes.suspects.borrow();
+    suspects.turn(keys, gw.now(), |service| makes_trials(gw, service))
+}
+
 /// Whether trials of requests with a key are made here: each key has one gateway for them.
 fn makes_trials(gw: &core::Gateway, key: u64) -> bool {
     let own = rendezvous::weight(&gw.holder(), key);
     let peers = gw.peers.borrow();
-    peers.keys().all(|peer| rendezvous::weight(peer, key) < own)
+    let mut others = peers
+        .iter()
+        .filter(|(_, address)| peer_rpc::is_responsive(gw, **address));
+    others.all(|(peer, _)| rendezvous::weight(peer, key) < own)
 }
 
 /// Whether a server that has ended a connection has crashed: it refuses connections, and nothing said
--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -76,20 +76,9 @@
                 "the repeats of the service are used up",
             ));
         }
-        if crash_reports::refuses(gw, &req.outgoing.keys) {
-            return Err(match stream.is_started {
-                true => RequestError::Aborted(CRASH_MESSAGE.to_owned()),
-                false => crash_refusal().into(),
-            });
-        }
-        let placed = match choosing::choose_server(gw, req, &attempts) {
-            choosing::Choice::Placed(placed) => placed,
-            choosing::Choice::AllClosed(opens_at) => {
-                return Err(closed_error(gw, stream, opens_at));
-            }
-            choosing::Choice::None => {
-                return Err(final_error(stream, "no backend server is available"));
-            }
+        let placed = match choosing::place(gw, req, &attempts).await {
+            Ok(placed) => placed,
+            Err(unplaced) => return Err(unplaced_error(gw, stream, unplaced)),
         };
         // A process that was held up may find both the close and the next step ready at once.
         if caller.is_closed() {
@@ -113,7 +102,6 @@
         let started = gw.now();
         let isolation = crash_reports::IsolationGuard::new(gw, server, &req.outgoing.keys);
         let end = try_server(gw, caller, req, &placed, stream, close).await;
-        drop(isolation);
         let now = gw.now();
         let (cause, not_run) = match end {
             AttemptOutcome::Done(status) => {
@@ -144,6 +132,7 @@
                 (format!("the server failed with status {status}"), false)
             }
         };
+        drop(isolation);
         // A server that says when it can be used again needs no guess at that time.
         let opens_at = gw.announcements.borrow().opens_at(server, now);
         if opens_at.is_none() {
@@ -179,6 +168,36 @@
     Refusal::new(Code::CrashSuspect, CRASH_MESSAGE).with_status(502)
 }
 
+/// Error for a request that is not sent.
+fn unplaced_error(
+    gw: &core::Gateway,
+    stream: &relay::EventStream,
+    unplaced: choosing::Unplaced,
+) -> RequestError {
+    match unplaced {
+        choosing::Unplaced::Refused if stream.is_started => {
+            RequestError::Aborted(CRASH_MESSAGE.to_owned())
+        }
+        choosing::Unplaced::Refused => crash_refusal().into(),
+        choosing::Unplaced::Held => held_error(stream),
+        choosing::Unplaced::AllClosed(opens_at) => closed_error(gw, stream, opens_at),
+        choosing::Unplaced::NoServer => final_error(stream, "no backend server is available"),
+    }
+}
+
+/// Error for a request that was running at crashes and is not sent while others like it run.
+fn held_error(stream: &relay::EventStream) -> RequestError {
+    let message = "backend servers crashed while the request ran; it is tried at another router";
+    if stream.is_started || stream.meter.may_have_run() {
+        return final_error(stream, message);
+    }
+    counter!("fulmar_gateway_crash_holds_total").increment(1);
+    Refusal::new(Code::CrashSuspect, message)
+        .with_status(503)
+        .retry_after(UNAVAILABLE_RETRY_AFTER)
+        .into()
+}
+
 /// Error for a request that is not retried any more: a refusal or, if a part of a stream has been
 /// relayed, an aborted response.
 fn final_error(stream: &relay::EventStream, cause: &str) -> RequestError {
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -248,7 +248,6 @@
 /// Guards against a request that ends all servers of a small service at once, which counts as one
 /// crash, and then all of them again.
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn a_request_that_comes_many_times_at_once_does_not_end_a_service_again() {
     let servers = Servers::new(SETTLE_TIME + RESTART_TIME);
     let (_store, store) = start_store();
--- a/tests/poisoned_parts.rs
+++ b/tests/poisoned_parts.rs
@@ -8,7 +8,11 @@
 
 use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
 
-use fulmarproxy::coordination::{rendezvous, suspect_keys::Keys, suspects::Suspects};
+use fulmarproxy::coordination::{
+    rendezvous,
+    suspect_keys::Keys,
+    suspects::{Suspects, Turn},
+};
 
 /// Crashes after which the platform counts further runs, of requests with a part and of one request,
 /// and how many of these it allows when sent later than this after the last of them.
@@ -23,6 +27,10 @@
 const RESTART_TIME: u64 = 3000;
 const POISON: u64 = 999;
 
+/// Time for which a request waits for another one with the same key, and between its questions.
+const TURN_WAIT: u64 = 750;
+const TURN_CHECK: u64 = 5;
+
 /// What differs between days.
 #[derive(Debug)]
 struct Day {
@@ -94,6 +102,8 @@
     gateway: usize,
     /// Servers to which it was sent.
     tried: Vec<usize>,
+    /// When it came.
+    at: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -101,6 +111,7 @@
     arrival: Arrival,
     server: usize,
     isolation: Option<u64>,
+    is_suspect: bool,
     sent: u64,
     number: u64,
 }
@@ -117,6 +128,8 @@
     Noticed {
         request: Request,
     },
+    /// A request that waits for another one asks again.
+    Waited(Arrival),
     Tell {
         from: usize,
         to: usize,
@@ -220,14 +233,16 @@
             }
             Event::Noticed { request } => {
                 let (sent, now) = (time(request.sent), time(self.now));
-                let arrival = request.arrival;
+                let arrival = request.arrival.clone();
                 let known = &mut self.gateways[arrival.gateway];
                 known.record_crash(&arrival.keys, request.server as u64, sent, now);
+                self.end_turn(&request);
                 self.tell(arrival.gateway);
                 if arrival.tried.len() < self.day.max_runs {
                     self.send(arrival);
                 }
             }
+            Event::Waited(arrival) => self.send(arrival),
             Event::Tell { from, to } => {
                 self.telling[from][to] = false;
                 let after = self.told[from][to];
@@ -270,30 +285,48 @@
             false => Keys::new("model", parts, 1_000_000 + number),
         };
         let gateway = self.rng.usize(..self.day.gateways);
-        if !is_poisoned {
-            let is_refused = self.refuses(gateway, &keys);
-            self.sound.push((self.now, first, !is_refused));
-        }
-        self.send(Arrival {
+        let arrival = Arrival {
             keys,
             is_poisoned,
             gateway,
             tried: Vec::new(),
-        });
+            at: self.now,
+        };
+        if !is_poisoned {
+            let is_refused = self.refuses(&arrival) || self.turn(&arrival) == Turn::Elsewhere;
+            self.sound.push((self.now, first, !is_refused));
+        }
+        self.send(arrival);
+    }
+
+    fn refuses(&self, arrival: &Arrival) -> bool {
+        let is_own = |key| key as usize % self.day.gateways == arrival.gateway;
+        self.gateways[arrival.gateway].refuses(&arrival.keys, time(self.now), is_own)
     }
 
-    fn refuses(&self, gateway: usize, keys: &Keys) -> bool {
-        let is_own = |key| key as usize % self.day.gateways == gateway;
-        self.gateways[gateway].refuses(keys, time(self.now), is_own)
+    fn turn(&self, arrival: &Arrival) -> Turn {
+        let is_own = |key| key as usize % self.day.gateways == arrival.gateway;
+        self.gateways[arrival.gateway].turn(&arrival.keys, time(self.now), is_own)
+    }
+
+    fn wait(&mut self, arrival: Arrival) {
+        if self.now < arrival.at + TURN_WAIT {
+            self.schedule(TURN_CHECK, Event::Waited(arrival));
+        }
     }
 
     /// Sends a request to a server, unless it is refused or none is up.
     fn send(&mut self, mut arrival: Arrival) {
         let number = self.scheduled + 1;
         let now = time(self.now);
-        if self.refuses(arrival.gateway, &arrival.keys) {
+        if self.refuses(&arrival) {
             return;
         }
+        match self.turn(&arrival) {
+            Turn::Now => (),
+            Turn::Later => return self.wait(arrival),
+            Turn::Elsewhere => return,
+        }
         let known = &mut self.gateways[arrival.gateway];
         known.begin_trial(&arrival.keys, now);
         let isolation = known.isolation_key(&arrival.keys, now);
@@ -306,6 +339,10 @@
         let apart = untried.iter().copied();
         let apart = apart.filter(|server| known.is_apart(&name(*server), isolation));
         let apart: Vec<usize> = apart.collect();
+        if apart.is_empty() && known.runs_alone(&arrival.keys, now) {
+            self.wait(arrival);
+            return;
+        }
         let choices = [apart, untried, up];
         let choices = choices.into_iter().find(|servers| !servers.is_empty());
         let Some(choices) = choices else { return };
@@ -317,6 +354,7 @@
             None => self.rng.choice(choices.iter().copied()),
         };
         let Some(server) = chosen else { return };
+        let is_suspect = known.begin_turn(&arrival.keys, &name(server), now);
         if let Some(key) = isolation {
             known.begin_run(&name(server).into(), key);
         }
@@ -332,6 +370,7 @@
             arrival,
             server,
             isolation,
+            is_suspect,
             sent: self.now,
             number,
         });
@@ -350,12 +389,19 @@
         }
         let request = self.running.swap_remove(at);
         self.end_isolation(&request);
+        self.end_turn(&request);
         let arrival = request.arrival;
         let known = &mut self.gateways[arrival.gateway];
         known.record_success(&arrival.keys, time(self.now));
         self.tell(arrival.gateway);
     }
 
+    fn end_turn(&mut self, request: &Request) {
+        if request.is_suspect {
+            self.gateways[request.arrival.gateway].end_turn(&request.arrival.keys);
+        }
+    }
+
     fn end_isolation(&mut self, request: &Request) {
         if let Some(key) = request.isolation {
             let server = format!("i-{}", request.server);
@@ -424,7 +470,6 @@
 
 /// Guards against a request that ends all servers of a small service, and then all of them again.
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn poisoned_requests_are_stopped_before_they_end_a_service_again() {
     common::seeds::play("POISONED_REQUESTS", "0..40", |seed| {
         play(seed, Day::random_of_request)
