Read and log the limits that backend servers name

Nothing told whether a gateway had read Server-Limit. The newest answer of a process counts; one of its own without the header ends the limit, a malformed one is ignored. Requests are sent as before.

--- a/src/coordination.rs
+++ b/src/coordination.rs
@@ -34,6 +34,7 @@
 pub mod retry;
 pub mod retry_window;
 pub mod roster;
+pub mod server_limits;
 pub mod share;
 pub mod slots;
 pub mod store_route;
--- a/src/coordination/announcements.rs
+++ b/src/coordination/announcements.rs
@@ -18,12 +18,14 @@
 const PRUNE_THRESHOLD: usize = 256;
 
 /// What a response says about the server that sent it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Announcement {
     /// Whether the server is leaving.
     pub is_leaving: bool,
     /// Time after which the server can take a request again.
     pub retry_after: Option<Duration>,
+    /// Requests a second that the server takes from all gateways together.
+    pub limit: Option<f64>,
 }
 
 /// One start of a server's process.
@@ -60,7 +62,7 @@
     ///     zone: "a".into(), slots: 1, takes_work: true, started_unix_ms: 5,
     /// };
     /// let mut said = Announcements::default();
-    /// let leaving = Announcement { is_leaving: true, retry_after: None };
+    /// let leaving = Announcement { is_leaving: true, ..Announcement::default() };
     /// assert_eq!(said.record(&server, leaving, Duration::ZERO), leaving);
     /// assert_eq!(said.record(&server, leaving, Duration::ZERO), Announcement::default());
     /// assert!(!said.admits(&server, Duration::from_secs(60)));
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -15,7 +15,7 @@
 use crate::{
     coordination::{
         announcements, draining, ejection, expired_entries, log_sampling, placement, presence,
-        retry_window, share, store_route, waiting,
+        retry_window, server_limits, share, store_route, waiting,
     },
     gateway::{crash_notes, era_notes},
     platform,
@@ -91,6 +91,8 @@
     pub ejection: RefCell<ejection::Ejection>,
     /// What backend servers have said of themselves in their responses.
     pub announcements: RefCell<announcements::Announcements>,
+    /// Limits that backend servers have named.
+    pub server_limits: RefCell<server_limits::ServerLimits>,
     /// Requests that were running when backend servers crashed.
     pub crash_notes: crash_notes::CrashNotes,
     /// Requests and retries of each service, which limit further retries.
@@ -167,6 +169,7 @@
             placement: RefCell::default(),
             ejection: RefCell::default(),
             announcements: RefCell::default(),
+            server_limits: RefCell::default(),
             crash_notes: crash_notes::CrashNotes::default(),
             retry_windows: RefCell::default(),
             shares: RefCell::default(),
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -6,7 +6,7 @@
 use metrics::counter;
 
 use crate::{
-    coordination::{announcements, placement, suspect_keys},
+    coordination::{announcements, placement, suspect_keys, suspects},
     gateway::core,
     platform::headers,
     state::{deployment, name, server},
@@ -172,6 +172,7 @@
 /// Records what the head of a response says about the server that sent it.
 fn record_announcement(gw: &core::Gateway, server: &server::Server, head: &head::ResponseHead) {
     let (said, malformed) = headers::announcement(head);
+    record_limit(gw, server, head, &said, &malformed);
     for header in malformed {
         counter!("fulmar_gateway_malformed_announcements_total", "header" => header).increment(1);
         tracing::warn!(server = %server.id, header, "directory: malformed announcement ignored");
@@ -193,6 +194,30 @@
     }
 }
 
+/// Records which limit the head of a response names. One of the server's own that names none ends
+/// the limit.
+fn record_limit(
+    gw: &core::Gateway,
+    server: &server::Server,
+    head: &head::ResponseHead,
+    said: &announcements::Announcement,
+    malformed: &[&str],
+) {
+    let is_own = headers::is_signed(head) || headers::was_not_executed(head);
+    let is_other_process = head.status == 421;
+    let is_malformed = malformed.contains(&headers::SERVER_LIMIT);
+    if is_other_process || is_malformed || said.limit.is_none() && !is_own {
+        return;
+    }
+    let (id, limit) = (&server.id, said.limit);
+    let number = suspects::server_number(server);
+    let mut limits = gw.server_limits.borrow_mut();
+    if limits.record(number, limit, gw.now()) {
+        counter!("fulmar_gateway_announcements_total", "kind" => "limit").increment(1);
+        tracing::info!(%id, limit, "directory: backend server changed its limit");
+    }
+}
+
 fn failure_reason(err: &fault::Fault) -> &'static str {
     match err {
         fault::Fault::Io(_) => "socket",
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -24,6 +24,8 @@
 
 const STORE_ERA: &str = "Store-Era";
 const SERVER_LEAVING: &str = "Server-Leaving";
+/// Requests a second that a backend server takes from all gateways together.
+pub const SERVER_LIMIT: &str = "Server-Limit";
 const AUTHORIZATION: &str = "Authorization";
 const TOKEN_USAGE: &str = "X-Token-Usage";
 const PROMPT_PREFIX: &str = "X-Prompt-Prefix";
@@ -159,14 +161,23 @@
     }
 }
 
-/// Parses seconds with an optional fraction; signs, exponents and dates are no such number.
-fn parse_seconds(value: &str) -> Result<Duration, ()> {
+/// Parses a number with an optional fraction; signs and exponents belong to no such number.
+fn parse_decimal(value: &str) -> Result<f64, ()> {
     let value = value.trim();
     let is_plain = |c: char| c.is_ascii_digit() || c == '.';
     if !value.starts_with(|c: char| c.is_ascii_digit()) || !value.chars().all(is_plain) {
         return Err(());
     }
-    let seconds: f64 = value.parse().map_err(|_| ())?;
+    let number: f64 = value.parse().map_err(|_| ())?;
+    if number.is_finite() {
+        Ok(number)
+    } else {
+        Err(())
+    }
+}
+
+fn parse_seconds(value: &str) -> Result<Duration, ()> {
+    let seconds = parse_decimal(value)?;
     let time = Duration::try_from_secs_f64(seconds).map_err(|_| ())?;
     if time > MAX_RETRY_AFTER {
         return Err(());
@@ -202,6 +213,11 @@
         Ok(is_leaving) => said.is_leaving = is_leaving,
         Err(()) => malformed.push(SERVER_LEAVING),
     }
+    let limit = single(&response.headers, SERVER_LIMIT);
+    match limit.and_then(|value| value.map(parse_decimal).transpose()) {
+        Ok(limit) => said.limit = limit,
+        Err(()) => malformed.push(SERVER_LIMIT),
+    }
     if response.status == 503 {
         let after = single(&response.headers, RETRY_AFTER);
         match after.and_then(|value| value.map(parse_seconds).transpose()) {
--- a/tests/announcements.rs
+++ b/tests/announcements.rs
@@ -181,6 +181,16 @@
             (Announcement::default(), &["Server-Leaving"][..])
         );
     }
+    for value in ["-1", "1e3", "", "many", "inf", "NaN", "+2", "1.2.3"] {
+        let (said, malformed) = response(200, &[("Server-Limit", value)]);
+        assert_eq!((said.limit, &malformed[..]), (None, &["Server-Limit"][..]));
+    }
+    for (value, limit) in [("0", 0.0), ("0.3", 0.3), (" 1.4 ", 1.4), ("1000000", 1e6)] {
+        let (said, malformed) = response(200, &[("Server-Limit", value)]);
+        assert_eq!((said.limit, malformed), (Some(limit), Vec::new()));
+    }
+    let twice = [("Server-Limit", "1"), ("Server-Limit", "2")];
+    assert_eq!(response(200, &twice).0, Announcement::default());
     let twice = [("Retry-After", "1"), ("Retry-After", "2")];
     assert_eq!(response(503, &twice).0, Announcement::default());
     let at_success = response(200, &[("Retry-After", "1")]);
