--- a/src/coordination/permit_issuer.rs
+++ b/src/coordination/permit_issuer.rs
@@ -6,6 +6,11 @@
 
 use std::{collections::HashMap, time::Duration};
 
+use crate::coordination::rendezvous;
+
+/// Time after the start of a router within which others may not know it yet.
+const LISTING_TIME: Duration = Duration::from_secs(10);
+
 /// Time whose permits a bucket holds at most. At least one permit fits.
 const BURST_TIME: Duration = Duration::from_millis(250);
 
@@ -93,3 +98,60 @@
         }
     }
 }
+
+/// What a router knows of the others.
+pub struct Fleet<P> {
+    /// Names of the other routers, as last listed.
+    pub peers: P,
+    /// Highest recent number of routers, with this one; `None` before the list has been read.
+    pub routers: Option<usize>,
+    /// Time since this router started.
+    pub uptime: Duration,
+}
+
+/// Share of a server's limit that a router issues. The sum over all routers stays below one and a
+/// half of the limit, even while two disagree about which of them issues it: the first in the ranking
+/// issues all, and each further one half of what the one before it does.
+///
+/// ```
+/// use std::time::Duration;
+/// use fulmarproxy::coordination::permit_issuer;
+/// let share = |own, peer| {
+///     let uptime = Duration::from_secs(60);
+///     let fleet = permit_issuer::Fleet { peers: [peer].into_iter(), routers: Some(2), uptime };
+///     permit_issuer::share(7, own, fleet)
+/// };
+/// assert_eq!(share("a/1", "b/2") + share("b/2", "a/1"), 1.5);
+/// ```
+pub fn share<'a>(server: u64, own: &str, fleet: Fleet<impl Iterator<Item = &'a str>>) -> f64 {
+    let Some(routers) = fleet.routers else {
+        return 0.0;
+    };
+    let rank = rendezvous::weight(own, server);
+    let peers: Vec<&str> = fleet.peers.collect();
+    if peers.len() + 1 < routers {
+        // The list lost entries lately, maybe of routers that run and issue permits.
+        return 1.0 / routers as f64;
+    }
+    let before = peers
+        .iter()
+        .filter(|peer| rendezvous::weight(peer, server) > rank);
+    let is_new = fleet.uptime < LISTING_TIME;
+    let halvings = before.count() + usize::from(is_new);
+    0.5_f64.powi(i32::try_from(halvings).unwrap_or(i32::MAX))
+}
+
+/// The router that issues the permits of a server, the first of those given in the ranking; `None`
+/// when it is this one.
+///
+/// ```
+/// use fulmarproxy::coordination::permit_issuer;
+/// let first = permit_issuer::issuer(7, "a/1", ["b/2"].into_iter());
+/// let other = permit_issuer::issuer(7, "b/2", ["a/1"].into_iter());
+/// assert!(first.is_some() != other.is_some());
+/// ```
+pub fn issuer<'a>(server: u64, own: &str, peers: impl Iterator<Item = &'a str>) -> Option<&'a str> {
+    let rank = |router: &str| rendezvous::weight(router, server);
+    let first = peers.max_by_key(|peer| rank(peer))?;
+    (rank(first) > rank(own)).then_some(first)
+}
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -2,9 +2,10 @@
 //!
 //! The platform's store holds the configuration, the list of backend servers and the ledgers of
 //! budgets. The main modules, each of which uses only those listed after it, are [`front`],
-//! [`request`], [`admission`], [`forwarding`], [`request_log`], [`relay`], [`choosing`], [`server_limits`], [`crash_reports`],
-//! [`exchange`], [`meter`], [`replenishing`], [`budget`], [`ledger`], [`peer_rpc`], [`permit_issuing`], [`config_sync`],
-//! [`directory`], [`fleet`] and [`core`].
+//! [`request`], [`admission`], [`forwarding`], [`request_log`], [`relay`], [`choosing`],
+//! [`server_limits`], [`crash_reports`], [`exchange`], [`meter`], [`replenishing`], [`budget`],
+//! [`ledger`], [`peer_rpc`], [`permit_issuing`], [`config_sync`], [`directory`], [`fleet`] and
+//! [`core`].
 
 use std::rc::Rc;
 
--- a/src/gateway/permit_issuing.rs
+++ b/src/gateway/permit_issuing.rs
@@ -5,13 +5,10 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    coordination::{permit_issuer, rendezvous, server_limits},
+    coordination::{permit_issuer, server_limits},
     gateway::core,
 };
 
-/// Time after the start of a gateway within which others may not know it yet.
-const LISTING_TIME: Duration = Duration::from_secs(10);
-
 /// Time after which a gateway asks again that was refused without knowing when.
 pub const RETRY_DELAY: Duration = Duration::from_millis(250);
 
@@ -51,26 +48,13 @@
     }
 }
 
-/// Share of a server's limit that this gateway issues. The sum over all gateways stays below one and
-/// a half of the limit, even while they disagree about which of them issues it: the first in the
-/// ranking issues all, each further one half of what the one before it does.
+/// Share of a server's limit that this gateway issues.
 fn share(gw: &core::Gateway, server: u64) -> f64 {
-    let Some(routers) = gw.known_router_count() else {
-        return 0.0;
-    };
     let peers = gw.peers.borrow();
-    if peers.len() + 1 < routers {
-        // The list lost entries lately, maybe of gateways that run and issue permits.
-        return 1.0 / routers as f64;
-    }
-    let own = rank(&gw.holder(), server);
-    let before = peers.keys().filter(|peer| rank(peer, server) > own).count();
-    let is_new = gw.now() < LISTING_TIME;
-    let halvings = before + usize::from(is_new);
-    0.5_f64.powi(i32::try_from(halvings).unwrap_or(i32::MAX))
-}
-
-/// Rank of a gateway for a server: the highest one issues its permits.
-pub fn rank(holder: &str, server: u64) -> u64 {
-    rendezvous::weight(holder, server)
+    let fleet = permit_issuer::Fleet {
+        peers: peers.keys().map(String::as_str),
+        routers: gw.known_router_count(),
+        uptime: gw.now(),
+    };
+    permit_issuer::share(server, &gw.holder(), fleet)
 }
--- a/src/gateway/server_limits.rs
+++ b/src/gateway/server_limits.rs
@@ -1,7 +1,7 @@
 //! Keeps requests within the limits that backend servers have named: asks for permits, and tells the
 //! other gateways which limits have changed.
 
-use std::{cmp::Reverse, net::SocketAddr, rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use metrics::counter;
 
@@ -77,13 +77,16 @@
 /// The gateway that issues the permits of a server, the first responsive one in the ranking; `None`
 /// when this one does.
 fn issuer(gw: &core::Gateway, server: u64) -> Option<SocketAddr> {
-    let own = permit_issuing::rank(&gw.holder(), server);
     let peers = gw.peers.borrow();
-    let before = peers.iter().filter(|(peer, address)| {
-        permit_issuing::rank(peer, server) > own && peer_rpc::is_responsive(gw, **address)
-    });
-    let first = before.min_by_key(|(peer, _)| Reverse(permit_issuing::rank(peer, server)));
-    first.map(|(_, address)| *address)
+    let responsive = peers
+        .iter()
+        .filter(|(_, address)| peer_rpc::is_responsive(gw, **address));
+    let issuer = permit_issuer::issuer(
+        server,
+        &gw.holder(),
+        responsive.map(|(peer, _)| peer.as_str()),
+    )?;
+    peers.get(issuer).copied()
 }
 
 fn record_reply(gw: &core::Gateway, reply: permit_issuing::Reply, service: String) {
