Trust the list of routers only once it was read for a while

After an outage of the store that outlived all leases the entries came back one by one, and the number of routers shrank at the first short list, because the last long one was over 30 s old; so many gateways took themselves for the only one. The part of the retry slack that a gateway uses came from the same number.

--- a/src/coordination.rs
+++ b/src/coordination.rs
@@ -36,6 +36,7 @@
 pub mod retry;
 pub mod retry_window;
 pub mod roster;
+pub mod router_count;
 pub mod server_limits;
 pub mod share;
 pub mod slots;
--- a/src/coordination/permit_issuer.rs
+++ b/src/coordination/permit_issuer.rs
@@ -6,10 +6,17 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use crate::coordination::rendezvous;
+use crate::coordination::{rendezvous, router_count};
 
-/// Time after the start of a router within which others may not know it yet.
-const LISTING_TIME: Duration = Duration::from_secs(10);
+/// Time for which the list must have been read before a router knows the others, and share that it
+/// issues until then.
+const KNOWING_TIME: Duration = Duration::from_secs(2);
+const UNKNOWING_SHARE: f64 = 0.1;
+
+/// Time for which the list must have been read before the others know a router, and share that it
+/// issues until then.
+const KNOWN_TIME: Duration = Duration::from_secs(7);
+const UNKNOWN_SHARE: f64 = 0.5;
 
 /// Time whose permits a bucket holds at most. At least one permit fits.
 const BURST_TIME: Duration = Duration::from_millis(250);
@@ -103,10 +110,8 @@
 pub struct Fleet<P> {
     /// Names of the other routers, as last listed.
     pub peers: P,
-    /// Highest recent number of routers, with this one; `None` before the list has been read.
-    pub routers: Option<usize>,
-    /// Time since this router started.
-    pub uptime: Duration,
+    /// Number of routers, with this one.
+    pub routers: router_count::RouterCount,
 }
 
 /// Share of a server's limit that a router issues. The sum over all routers stays below one and a
@@ -115,16 +120,17 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use fulmarproxy::coordination::permit_issuer;
+/// use fulmarproxy::coordination::{permit_issuer, router_count};
+/// let mut routers = router_count::RouterCount::default();
+/// (0..10).for_each(|second| routers.record(2, Duration::from_secs(second)));
 /// let share = |own, peer| {
-///     let uptime = Duration::from_secs(60);
-///     let fleet = permit_issuer::Fleet { peers: [peer].into_iter(), routers: Some(2), uptime };
+///     let fleet = permit_issuer::Fleet { peers: [peer].into_iter(), routers };
 ///     permit_issuer::share(7, own, fleet)
 /// };
 /// assert_eq!(share("a/1", "b/2") + share("b/2", "a/1"), 1.5);
 /// ```
 pub fn share<'a>(server: u64, own: &str, fleet: Fleet<impl Iterator<Item = &'a str>>) -> f64 {
-    let Some(routers) = fleet.routers else {
+    let Some(routers) = fleet.routers.get() else {
         return 0.0;
     };
     let rank = rendezvous::weight(own, server);
@@ -136,9 +142,13 @@
     let before = peers
         .iter()
         .filter(|peer| rendezvous::weight(peer, server) > rank);
-    let is_new = fleet.uptime < LISTING_TIME;
-    let halvings = before.count() + usize::from(is_new);
-    0.5_f64.powi(i32::try_from(halvings).unwrap_or(i32::MAX))
+    let halvings = i32::try_from(before.count()).unwrap_or(i32::MAX);
+    let most = match fleet.routers.longest_read() {
+        read if read < KNOWING_TIME => UNKNOWING_SHARE,
+        read if read < KNOWN_TIME => UNKNOWN_SHARE,
+        _ => 1.0,
+    };
+    most * 0.5_f64.powi(halvings)
 }
 
 /// The router that issues the permits of a server, the first of those given in the ranking; `None`
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -15,7 +15,8 @@
 use crate::{
     coordination::{
         announcements, draining, ejection, expired_entries, log_sampling, permit_issuer, permits,
-        placement, presence, retry_window, server_limits, share, store_route, waiting,
+        placement, presence, retry_window, router_count, server_limits, share, store_route,
+        waiting,
     },
     gateway::{crash_notes, era_notes},
     platform,
@@ -23,10 +24,6 @@
     transport::{h1::connection_pool, timers},
 };
 
-/// Time for which the router count doesn't shrink after routers have left the list. Limits that are
-/// divided among the routers use this count.
-const ROUTER_COUNT_TTL: Duration = Duration::from_secs(30);
-
 /// Requests that acquire tokens of one workspace at a time. With one only, a slow home held up all
 /// that waited; without a limit they used up the sockets.
 const MAX_ACQUIRING: usize = 8;
@@ -148,8 +145,8 @@
     pub config_confirmed_at: Cell<Duration>,
     /// Time at which the store last confirmed that the server list is current.
     pub servers_confirmed_at: Cell<Duration>,
-    /// Highest recent number of routers, and the time at which it was last seen.
-    highest_router_count: Cell<(usize, Duration)>,
+    /// Number of routers in the fleet, including this one.
+    pub router_count: Cell<router_count::RouterCount>,
     /// Notifies connections without a request that they must close, because the process stops.
     pub shutdown_event: event_listener::Event,
     executor: Rc<smol::LocalExecutor<'static>>,
@@ -203,7 +200,7 @@
             failure_log_quota: RefCell::default(),
             config_confirmed_at: Cell::default(),
             servers_confirmed_at: Cell::default(),
-            highest_router_count: Cell::default(),
+            router_count: Cell::default(),
             shutdown_event: event_listener::Event::new(),
             executor,
         })
@@ -258,11 +255,9 @@
 
     /// Replaces the list of the other routers.
     pub fn set_peers(&self, peers: HashMap<String, SocketAddr>) {
-        let (most, at) = self.highest_router_count.get();
-        let count = peers.len() + 1;
-        if count >= most || self.now() > at + ROUTER_COUNT_TTL {
-            self.highest_router_count.set((count, self.now()));
-        }
+        let mut router_count = self.router_count.get();
+        router_count.record(peers.len() + 1, self.now());
+        self.router_count.set(router_count);
         let now = self.now();
         self.presence.borrow_mut().record_list(peers.keys(), now);
         *self.peers.borrow_mut() = peers;
@@ -278,8 +273,7 @@
     /// This is the highest recent count, because entries expire while the store is unavailable and
     /// the routers are still running.
     pub fn known_router_count(&self) -> Option<usize> {
-        let (highest, _) = self.highest_router_count.get();
-        (highest > 0).then_some(highest)
+        self.router_count.get().get()
     }
 
     /// Retries that the whole fleet may make, from the settings.
--- a/src/gateway/permit_issuing.rs
+++ b/src/gateway/permit_issuing.rs
@@ -53,8 +53,7 @@
     let peers = gw.peers.borrow();
     let fleet = permit_issuer::Fleet {
         peers: peers.keys().map(String::as_str),
-        routers: gw.known_router_count(),
-        uptime: gw.now(),
+        routers: gw.router_count.get(),
     };
     permit_issuer::share(server, &gw.holder(), fleet)
 }
--- a/tests/server_limits.rs
+++ b/tests/server_limits.rs
@@ -123,6 +123,25 @@
     (1.5 * limit * WINDOW.as_secs_f64()) as usize + 5
 }
 
+/// Checks that limited servers got no more than is allowed, and in the last two windows at least half
+/// of what they take.
+fn check_use(servers: &[Server], limits: &[f64], begin: Instant) {
+    for (server, limit) in servers.iter().zip(limits) {
+        let most = server.most_in_window(begin + SETTLE_TIME);
+        let used = server.count_since(begin + STARTUP_TIME);
+        println!("{most} in a window, {used} in the last two at a limit of {limit}");
+        assert!(most <= allowed(*limit), "{most} in a window, limit {limit}");
+        let taken = 2.0 * WINDOW.as_secs_f64() * limit;
+        assert!(
+            used as f64 >= taken / 2.0,
+            "{used} of {taken}, limit {limit}"
+        );
+    }
+}
+
+/// Time between the answer to a caller and its next request.
+const PAUSE: Duration = Duration::from_millis(60);
+
 /// Callers that send requests until they are told to stop.
 #[derive(Clone, Default)]
 struct Callers {
@@ -201,17 +220,8 @@
     let gateways = start_gateways(&store, 5);
     let begin = Instant::now();
     let callers = Callers::default();
-    let time = SETTLE_TIME + 2 * WINDOW;
-    callers.play(&gateways, 3, Duration::from_millis(60), time);
-    let settled = begin + SETTLE_TIME;
-    for (server, limit) in named.iter().zip(limits) {
-        let most = server.most_in_window(settled);
-        println!("{most} in a window at a limit of {limit}");
-        assert!(most <= allowed(limit), "{most} in a window, limit {limit}");
-        let least = (limit * 2.0 * WINDOW.as_secs_f64() / 4.0) as usize;
-        let count = server.count_since(settled);
-        assert!(count >= least, "{count} in two windows, limit {limit}");
-    }
+    callers.play(&gateways, 3, PAUSE, STARTUP_TIME + 2 * WINDOW);
+    check_use(&named, &limits, begin);
     let (refused, other) = (
         callers.count(&callers.refused),
         callers.count(&callers.other),
@@ -233,19 +243,8 @@
     let gateways = start_gateways(&store, 5);
     let begin = Instant::now();
     let callers = Callers::default();
-    let time = STARTUP_TIME + 2 * WINDOW;
-    callers.play(&gateways, 3, Duration::from_millis(60), time);
-    for (server, limit) in named.iter().zip(limits) {
-        let most = server.most_in_window(begin + SETTLE_TIME);
-        let used = server.count_since(begin + STARTUP_TIME);
-        println!("{most} in a window, {used} in the last two at a limit of {limit}");
-        assert!(most <= allowed(limit), "{most} in a window, limit {limit}");
-        let taken = 2.0 * WINDOW.as_secs_f64() * limit;
-        assert!(
-            used as f64 >= taken / 2.0,
-            "{used} of {taken}, limit {limit}"
-        );
-    }
+    callers.play(&gateways, 3, PAUSE, STARTUP_TIME + 2 * WINDOW);
+    check_use(&named, &limits, begin);
     println!(
         "{} served, {} refused",
         callers.count(&callers.served),
