--- a/src/coordination/permits.rs
+++ b/src/coordination/permits.rs
@@ -18,7 +18,10 @@
 const MAX_WANTED: u32 = 64;
 
 /// Time after which a server is asked for again when no answer has come.
-pub const ASK_TIMEOUT: Duration = Duration::from_millis(300);
+const ASK_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Time within which an answer is likely.
+const ANSWER_TIME: Duration = Duration::from_millis(20);
 
 /// Number of servers from which on those without a valid permit are removed.
 const PRUNE_THRESHOLD: usize = 256;
@@ -39,6 +42,8 @@
     granted: Duration,
     /// Time before which no more permits are asked for.
     closed_until: Duration,
+    /// Whether an answer is awaited.
+    is_asking: bool,
 }
 
 impl Held {
@@ -76,6 +81,7 @@
             wanted: 1,
             granted: Duration::ZERO,
             closed_until: Duration::ZERO,
+            is_asking: false,
         });
         let is_used_up = held.permits == 0 && now < held.granted + USED_UP_TIME;
         let wanted = match is_used_up && held.granted > Duration::ZERO {
@@ -84,6 +90,7 @@
         };
         held.wanted = wanted.clamp(1, MAX_WANTED);
         held.closed_until = now + ASK_TIMEOUT;
+        held.is_asking = true;
         Permit::Ask(held.wanted)
     }
 
@@ -108,6 +115,7 @@
             return;
         };
         held.closed_until = now + grant.retry_after;
+        held.is_asking = false;
         if grant.permits > 0 {
             held.permits = grant.permits;
             held.granted = now;
@@ -117,7 +125,12 @@
     /// Time at which a permit may be had for a server; `None` when one is held or can be asked for.
     pub fn opens_at(&self, server: u64, now: Duration) -> Option<Duration> {
         let held = self.held.get(&server)?;
-        let is_closed = !held.is_valid(now) && now < held.closed_until;
-        is_closed.then_some(held.closed_until)
+        if held.is_valid(now) || now >= held.closed_until {
+            return None;
+        }
+        match held.is_asking {
+            true => Some(held.closed_until.min(now + ANSWER_TIME)),
+            false => Some(held.closed_until),
+        }
     }
 }
--- a/src/coordination/server_limits.rs
+++ b/src/coordination/server_limits.rs
@@ -65,10 +65,12 @@
         is_news
     }
 
-    /// Merges what another gateway has read; returns whether this changes the server's limit.
-    pub fn merge(&mut self, report: &Report, now: Duration) -> bool {
-        let at = (now.as_millis() as Moment).saturating_sub_unsigned(report.age_ms);
-        self.set(report.server, report.limit, at)
+    /// Merges what another gateway has read.
+    pub fn merge(&mut self, reports: &[Report], now: Duration) {
+        for report in reports {
+            let at = (now.as_millis() as Moment).saturating_sub_unsigned(report.age_ms);
+            self.set(report.server, report.limit, at);
+        }
     }
 
     fn set(&mut self, server: u64, limit: Option<f64>, at: Moment) -> bool {
@@ -107,6 +109,18 @@
         })
     }
 
+    /// The limits in force that were heard of last, at most `most` of them, for a gateway that has
+    /// started.
+    pub fn newest(&self, most: usize, now: Duration) -> Vec<Report> {
+        let mut named: Vec<_> = self.named.iter().collect();
+        named.retain(|(_, named)| named.limit.is_some());
+        named.sort_by_key(|(_, named)| std::cmp::Reverse(named.at));
+        let reports = named.into_iter().take(most);
+        reports
+            .filter_map(|(server, _)| self.report(*server, now))
+            .collect()
+    }
+
     /// Whether no server has named a limit so far.
     pub fn is_empty(&self) -> bool {
         self.named.is_empty()
--- a/src/gateway/choosing.rs
+++ b/src/gateway/choosing.rs
@@ -50,14 +50,15 @@
         }
         match crash_reports::turn(gw, keys) {
             suspects::Turn::Now => match choose_server(gw, req, attempts) {
-                Choice::Placed(placed) if server_limits::take_permit(gw, &placed.server) => {
-                    return Ok(placed);
-                }
-                Choice::Placed(_) => {
-                    let answered = gw.permits_changed.listen();
-                    gw.timers.within(PERMIT_ANSWER_TIME, answered).await;
-                    continue;
-                }
+                Choice::Placed(placed) => match server_limits::admit(gw, &placed.server) {
+                    server_limits::Admission::Admitted => return Ok(placed),
+                    server_limits::Admission::Closed => continue,
+                    server_limits::Admission::Asked => {
+                        let answered = gw.permits_changed.listen();
+                        gw.timers.within(PERMIT_ANSWER_TIME, answered).await;
+                        continue;
+                    }
+                },
                 Choice::AllClosed {
                     opens_at,
                     by_limit: true,
--- a/src/gateway/peer_rpc.rs
+++ b/src/gateway/peer_rpc.rs
@@ -36,6 +36,9 @@
 /// Maximum size of a message's head and of its body, in bytes.
 const MAX_MESSAGE_BYTES: usize = 16 * 1024;
 
+/// Maximum number of limits in one message, which must not exceed that size.
+pub const MAX_LIMITS: usize = 100;
+
 /// A call to another router.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum Call {
@@ -66,7 +69,8 @@
     /// Tells which requests were running at crashes of backend servers; the reply is what the other
     /// router knows of such.
     Crashes(Vec<suspect::Report>),
-    /// Tells limits that backend servers have named or ended.
+    /// Tells limits that backend servers have named or ended; the reply is what the other router
+    /// knows of such.
     Limits(Vec<server_limits::Report>),
     /// Asks for permits to send requests to a server that has named a limit; the reply is a
     /// [`permit_issuing::Reply`].
@@ -177,7 +181,7 @@
     send_in_time(gw, peer, &Call::Crashes(reports)).await
 }
 
-/// Tells a router of limits.
+/// Tells a router of limits and returns those that it knows.
 ///
 /// # Errors
 ///
@@ -186,7 +190,7 @@
     gw: &core::Gateway,
     peer: SocketAddr,
     reports: Vec<server_limits::Report>,
-) -> Result<(), String> {
+) -> Result<Vec<server_limits::Report>, String> {
     send_in_time(gw, peer, &Call::Limits(reports)).await
 }
 
@@ -330,11 +334,11 @@
         }
         Call::Limits(reports) => {
             let mut limits = gw.server_limits.borrow_mut();
-            for report in reports {
-                limits.merge(report, gw.now());
-            }
+            limits.merge(reports, gw.now());
+            let known = limits.newest(MAX_LIMITS, gw.now());
             gw.permits_changed.notify(usize::MAX);
-            return Some(("null".to_owned(), 0));
+            let body = serde_json::to_string(&known).ok()?;
+            return Some((body, 0));
         }
         Call::Permits { report, wanted } => {
             let reply = permit_issuing::issue(gw, *report, *wanted);
--- a/src/gateway/permit_issuing.rs
+++ b/src/gateway/permit_issuing.rs
@@ -28,7 +28,7 @@
     let now = gw.now();
     let server = report.server;
     let mut limits = gw.server_limits.borrow_mut();
-    limits.merge(&report, now);
+    limits.merge(&[report], now);
     let report = limits.report(server, now).unwrap_or(report);
     let rate = report.limit.unwrap_or_default() * share(gw, server);
     let grant = match rate > 0.0 {
@@ -44,7 +44,7 @@
     Reply {
         report,
         permits: grant.permits,
-        retry_ms: grant.retry_after.as_millis() as u64,
+        retry_ms: grant.retry_after.as_millis() as u64 + 1,
     }
 }
 
--- a/src/gateway/server_limits.rs
+++ b/src/gateway/server_limits.rs
@@ -6,7 +6,7 @@
 use metrics::counter;
 
 use crate::{
-    coordination::{permit_issuer, permits, suspects},
+    coordination::{self, permit_issuer, permits, suspects},
     gateway::{core, peer_rpc, permit_issuing},
     state::server,
 };
@@ -21,8 +21,10 @@
 /// Number of gateways that are told at a time.
 const TOLD_AT_A_TIME: usize = 8;
 
-/// Maximum number of limits in one message, which must not exceed the size limit of messages.
-const MAX_REPORTS: usize = 100;
+/// Number of gateways that tell their limits to one that has started, and time between its attempts
+/// to find them.
+const ASKED_AT_START: usize = 2;
+const ASK_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Time at which a server takes a request again because of its limit; `None` when it may be now.
 pub fn opens_at(gw: &core::Gateway, server: &server::Server, now: Duration) -> Option<Duration> {
@@ -35,23 +37,36 @@
     gw.permits.borrow().opens_at(number, now)
 }
 
-/// Takes a permit if the server has named a limit; false when none is held. Then more are asked for,
-/// and [`core::Gateway::permits_changed`] is notified of the answer.
-pub fn take_permit(gw: &Rc<core::Gateway>, server: &server::Server) -> bool {
+/// Whether a request may be sent to a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// The server has named no limit, or a permit was taken.
+    Admitted,
+    /// The limit is reached.
+    Closed,
+    /// Another router was asked; [`core::Gateway::permits_changed`] is notified of its answer.
+    Asked,
+}
+
+/// Takes a permit if the server has named a limit, and asks for some if none is held.
+pub fn admit(gw: &Rc<core::Gateway>, server: &server::Server) -> Admission {
     let now = gw.now();
     let number = suspects::server_number(server);
     let report = gw.server_limits.borrow().report(number, now);
     let Some(report) = report.filter(|report| report.limit.is_some()) else {
-        return true;
+        return Admission::Admitted;
     };
     let taken = gw.permits.borrow_mut().take(number, now);
     let permits::Permit::Ask(wanted) = taken else {
-        return true;
+        return Admission::Admitted;
     };
     let service = server.service.to_string();
     let Some(peer) = issuer(gw, number) else {
         record_reply(gw, permit_issuing::issue(gw, report, wanted), service);
-        return gw.permits.borrow_mut().take_held(number, now);
+        return match gw.permits.borrow_mut().take_held(number, now) {
+            true => Admission::Admitted,
+            false => Admission::Closed,
+        };
     };
     let asking = gw.clone();
     gw.spawn(async move {
@@ -71,7 +86,7 @@
         }
         asking.permits_changed.notify(usize::MAX);
     });
-    false
+    Admission::Asked
 }
 
 /// The gateway that issues the permits of a server, the first responsive one in the ranking; `None`
@@ -97,7 +112,7 @@
     };
     counter!("fulmar_gateway_permits_total", "outcome" => outcome, "service" => service)
         .increment(1);
-    gw.server_limits.borrow_mut().merge(&reply.report, now);
+    gw.server_limits.borrow_mut().merge(&[reply.report], now);
     let grant = permit_issuer::Grant {
         permits: reply.permits,
         retry_after: Duration::from_millis(reply.retry_ms),
@@ -106,9 +121,22 @@
     permits.record_grant(reply.report.server, grant, now);
 }
 
-/// Starts the task that tells the other gateways of changed limits. What they are not told they read
-/// in their own answers.
+/// Starts the tasks that ask other gateways for limits, once, and tell them of changed ones. What
+/// gateways are not told they read in their own answers.
 pub fn start(gw: &Rc<core::Gateway>) {
+    let asking = gw.clone();
+    gw.spawn(async move {
+        while asking.peers.borrow().is_empty() {
+            asking.timers.sleep(ASK_INTERVAL).await;
+        }
+        let peers: Vec<SocketAddr> = asking.peers.borrow().values().copied().collect();
+        let mut answered = 0;
+        for peer in peers {
+            if answered < ASKED_AT_START && exchange(&asking, peer, Vec::new()).await {
+                answered += 1;
+            }
+        }
+    });
     let telling = gw.clone();
     gw.spawn(async move {
         let mut told = 0;
@@ -131,7 +159,7 @@
 async fn tell(gw: &Rc<core::Gateway>, after: u64) -> u64 {
     let (reports, covered) = {
         let limits = gw.server_limits.borrow();
-        limits.changes_after(after, MAX_REPORTS, gw.now())
+        limits.changes_after(after, peer_rpc::MAX_LIMITS, gw.now())
     };
     if reports.is_empty() {
         return covered;
@@ -141,14 +169,28 @@
         .into_iter()
         .filter(|peer| peer_rpc::is_responsive(gw, *peer));
     let responsive: Vec<_> = responsive.collect();
-    let tell = async |peer: &SocketAddr| {
-        if let Err(cause) = peer_rpc::tell_limits(gw, *peer, reports.clone()).await {
-            counter!("fulmar_gateway_peer_failures_total").increment(1);
-            tracing::info!(%peer, cause, "limits: a router was not told");
-        }
-    };
+    let tell = |peer: &SocketAddr| exchange(gw, *peer, reports.clone());
     for peers in responsive.chunks(TOLD_AT_A_TIME) {
         futures::future::join_all(peers.iter().map(&tell)).await;
     }
     covered
 }
+
+/// Sends limits to a gateway and merges those that it knows; returns whether it answered.
+async fn exchange(
+    gw: &core::Gateway,
+    peer: SocketAddr,
+    reports: Vec<coordination::server_limits::Report>,
+) -> bool {
+    match peer_rpc::tell_limits(gw, peer, reports).await {
+        Ok(known) => {
+            gw.server_limits.borrow_mut().merge(&known, gw.now());
+            true
+        }
+        Err(cause) => {
+            counter!("fulmar_gateway_peer_failures_total").increment(1);
+            tracing::info!(%peer, cause, "limits: a router did not answer");
+            false
+        }
+    }
+}
