--- a/src/coordination.rs
+++ b/src/coordination.rs
@@ -43,6 +43,7 @@
 pub mod store_route;
 pub mod suspect;
 pub mod suspect_keys;
+pub mod suspect_turns;
 pub mod suspects;
 pub mod waiting;
 pub mod watch_pacing;
--- a/src/coordination/suspects.rs
+++ b/src/coordination/suspects.rs
@@ -10,7 +10,7 @@
 use std::{collections::HashMap, iter, time::Duration};
 
 use crate::{
-    coordination::{crashes, suspect, suspect_keys},
+    coordination::{crashes, suspect, suspect_keys, suspect_turns},
     state::{name, server},
 };
 
@@ -34,33 +34,10 @@
     suspects: HashMap<u64, suspect::Suspect>,
     /// Keys for which isolated requests are running, by server.
     isolated: HashMap<name::Name, Vec<u64>>,
-    /// Requests that are running and were suspects when they were sent.
-    running: Vec<Running>,
+    turns: suspect_turns::Turns,
     changes: u64,
 }
 
-/// A running request that was a suspect when it was sent.
-#[derive(Clone, Copy, Debug)]
-struct Running {
-    /// Number of the service.
-    service: u64,
-    /// Key of the whole request.
-    key: u64,
-    /// Whether it had been present at so many crashes that it runs alone.
-    is_alone: bool,
-}
-
-/// When a request may be sent that was running at crashes before.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Turn {
-    /// At once.
-    Now,
-    /// When one has ended that this gateway is running.
-    Later,
-    /// Only by the gateway at which the suspects of the service run alone.
-    Elsewhere,
-}
-
 /// Number that stands for a run of a server in reports.
 pub fn server_number(server: &server::Server) -> u64 {
     crashes::fingerprint(&server.id, &[&server.started_unix_ms.to_le_bytes()])
@@ -93,7 +70,7 @@
         let counted = counted.filter(|(key, _)| refused.is_none_or(|refused| refused == *key));
         let at = suspect::moment(now);
         let whole = keys.whole();
-        let is_alone = self.running.iter().any(|it| it.key == whole && it.is_alone);
+        let is_alone = self.turns.is_alone(keys);
         let mut highest = 0;
         for (key, distance) in counted {
             let known = self.current(key, now).cloned();
@@ -226,38 +203,32 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// use fulmarproxy::coordination::{suspect_keys, suspects};
+    /// use fulmarproxy::coordination::{suspect_keys, suspect_turns::Turn, suspects};
     /// let keys = suspect_keys::Keys::new("desk", [], 7);
     /// let mut known = suspects::Suspects::default();
     /// let crashed = Duration::from_secs(1);
     /// known.record_crash(&keys, 1, Duration::ZERO, crashed);
-    /// assert_eq!(known.turn(&keys, crashed, |_| false), suspects::Turn::Now);
+    /// assert_eq!(known.turn(&keys, crashed, |_| false), Turn::Now);
     /// known.begin_turn(&keys, "i-1", crashed);
-    /// assert_eq!(known.turn(&keys, crashed, |_| false), suspects::Turn::Later);
+    /// assert_eq!(known.turn(&keys, crashed, |_| false), Turn::Later);
     /// ```
     pub fn turn(
         &self,
         keys: &suspect_keys::Keys,
         now: Duration,
         runs: impl Fn(u64) -> bool,
-    ) -> Turn {
-        let (key, service) = (keys.whole(), keys.service());
-        let Some(known) = self.current(key, now) else {
-            return Turn::Now;
-        };
-        if known.age(now) >= TRIAL_DELAY {
-            return Turn::Now;
+    ) -> suspect_turns::Turn {
+        let known = self.current(keys.whole(), now);
+        if known.is_none_or(|known| known.age(now) >= TRIAL_DELAY) {
+            return suspect_turns::Turn::Now;
         }
         let runs_alone = self.runs_alone(keys, now);
-        if runs_alone && !runs(service) {
-            return Turn::Elsewhere;
+        if runs_alone && !runs(keys.service()) {
+            return suspect_turns::Turn::Elsewhere;
         }
-        let mut running = self.running.iter();
-        let must_wait =
-            running.any(|it| it.key == key || runs_alone && it.is_alone && it.service == service);
-        match must_wait {
-            true => Turn::Later,
-            false => Turn::Now,
+        match self.turns.must_wait(keys, runs_alone) {
+            true => suspect_turns::Turn::Later,
+            false => suspect_turns::Turn::Now,
         }
     }
 
@@ -270,26 +241,18 @@
     /// Records that a request is sent; returns whether it is a suspect, and [`Self::end_turn`] must
     /// follow, once its crash is recorded if there is one.
     pub fn begin_turn(&mut self, keys: &suspect_keys::Keys, server: &str, now: Duration) -> bool {
-        let key = keys.whole();
-        if self.current(key, now).is_none() {
+        if self.current(keys.whole(), now).is_none() {
             return false;
         }
         let isolation = self.isolation_key(keys, now);
         let is_alone = self.runs_alone(keys, now) && self.is_apart(server, isolation);
-        self.running.push(Running {
-            service: keys.service(),
-            key,
-            is_alone,
-        });
+        self.turns.begin(keys, is_alone);
         true
     }
 
     /// Records that a suspect request has ended.
     pub fn end_turn(&mut self, keys: &suspect_keys::Keys) {
-        let mut running = self.running.iter();
-        if let Some(at) = running.position(|it| it.key == keys.whole()) {
-            self.running.swap_remove(at);
-        }
+        self.turns.end(keys);
     }
 
     /// Records that a request is sent for the first time. If it is refused otherwise, this is a trial.
--- a/src/gateway/choosing.rs
+++ b/src/gateway/choosing.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use crate::{
-    coordination::{attempts, placement, suspects},
+    coordination::{attempts, placement, suspect_turns},
     gateway::{admission::Admitted, core, crash_reports, directory, server_limits},
 };
 
@@ -49,7 +49,7 @@
             return Err(Unplaced::Refused);
         }
         match crash_reports::turn(gw, keys) {
-            suspects::Turn::Now => match choose_server(gw, req, attempts) {
+            suspect_turns::Turn::Now => match choose_server(gw, req, attempts) {
                 Choice::Placed(placed) => match server_limits::admit(gw, &placed.server) {
                     server_limits::Admission::Admitted => return Ok(placed),
                     server_limits::Admission::Closed => continue,
@@ -72,8 +72,8 @@
                 Choice::None => return Err(Unplaced::NoServer),
                 Choice::Beside => (),
             },
-            suspects::Turn::Later => (),
-            suspects::Turn::Elsewhere => return Err(Unplaced::Held),
+            suspect_turns::Turn::Later => (),
+            suspect_turns::Turn::Elsewhere => return Err(Unplaced::Held),
         }
         let wait = turn_until.saturating_sub(gw.now());
         let ended = gw.crash_notes.turns.listen();
--- a/src/gateway/crash_reports.rs
+++ b/src/gateway/crash_reports.rs
@@ -9,7 +9,7 @@
 use metrics::counter;
 
 use crate::{
-    coordination::{rendezvous, suspect, suspect_keys, suspects},
+    coordination::{rendezvous, suspect, suspect_keys, suspect_turns, suspects},
     gateway::{core, crash_notes, exchange, peer_rpc},
     platform::store,
     state::server,
@@ -87,7 +87,7 @@
 }
 
 /// When a request may be sent that was running at crashes before.
-pub fn turn(gw: &core::Gateway, keys: &suspect_keys::Keys) -> suspects::Turn {
+pub fn turn(gw: &core::Gateway, keys: &suspect_keys::Keys) -> suspect_turns::Turn {
     let suspects = gw.crash_notes.suspects.borrow();
     suspects.turn(keys, gw.now(), |service| makes_trials(gw, service))
 }
--- a/tests/poisoned_parts.rs
+++ b/tests/poisoned_parts.rs
@@ -9,9 +9,7 @@
 use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
 
 use fulmarproxy::coordination::{
-    rendezvous,
-    suspect_keys::Keys,
-    suspects::{Suspects, Turn},
+    rendezvous, suspect_keys::Keys, suspect_turns::Turn, suspects::Suspects,
 };
 
 /// Crashes after which the platform counts further runs, of requests with a part and of one request,
