Hear the end of a limit of zero, and let one gateway tell limits

A change that many gateways read at once was told by each of them to all; now each tells the gateway that issues the permits, and that one tells the others. A gauge counts the limited servers that a gateway knows.

--- a/src/coordination/permit_issuer.rs
+++ b/src/coordination/permit_issuer.rs
@@ -1,8 +1,8 @@
 //! Issues permits for requests to servers that have named a limit.
 //!
 //! Each limited server has one router that issues its permits, so that the sum over all routers
-//! stays within the limit whatever their shares of the load are. A token bucket for each server fills at the
-//! rate that the server named; it starts empty, since requests were sent before.
+//! stays within the limit whatever their shares of the load are. A token bucket for each server fills
+//! at the rate that the server named; it starts empty, since requests were sent before.
 
 use std::{collections::HashMap, time::Duration};
 
@@ -21,8 +21,8 @@
 /// Time whose permits a bucket holds at most. At least one permit fits.
 const BURST_TIME: Duration = Duration::from_millis(250);
 
-/// Requests a second that are sent to a server which named none or nearly none, to hear when that
-/// ends.
+/// Least number of requests a second that are sent to a server, also if it named zero, to hear when
+/// that ends.
 const MIN_RATE: f64 = 0.1;
 
 /// Longest time over which routers that got no permit are spread.
--- a/src/coordination/server_limits.rs
+++ b/src/coordination/server_limits.rs
@@ -29,8 +29,10 @@
 struct Named {
     limit: Option<f64>,
     at: Moment,
-    /// Number of the change by which this gateway read the limit; 0 when another one told it.
+    /// Number of the change that set the limit.
     change: u64,
+    /// Whether this gateway read it itself.
+    is_own: bool,
 }
 
 /// The limits that servers have named.
@@ -54,36 +56,36 @@
     /// assert!(limits.record(7, None, Duration::from_secs(3)));
     /// ```
     pub fn record(&mut self, server: u64, limit: Option<f64>, now: Duration) -> bool {
-        let at = now.as_millis() as Moment;
-        let is_news = self.set(server, limit, at);
-        if is_news {
-            self.changes += 1;
-        }
-        if let Some(named) = self.named.get_mut(&server).filter(|_| is_news) {
-            named.change = self.changes;
-        }
-        is_news
+        self.set(server, limit, now.as_millis() as Moment, true)
     }
 
-    /// Merges what another gateway has read.
-    pub fn merge(&mut self, reports: &[Report], now: Duration) {
+    /// Merges what another gateway has read; returns whether this changes a limit.
+    pub fn merge(&mut self, reports: &[Report], now: Duration) -> bool {
+        let mut is_news = false;
         for report in reports {
             let at = (now.as_millis() as Moment).saturating_sub_unsigned(report.age_ms);
-            self.set(report.server, report.limit, at);
+            is_news |= self.set(report.server, report.limit, at, false);
         }
+        is_news
     }
 
-    fn set(&mut self, server: u64, limit: Option<f64>, at: Moment) -> bool {
+    fn set(&mut self, server: u64, limit: Option<f64>, at: Moment, is_own: bool) -> bool {
         let known = self.named.get(&server).copied();
         if known.is_none() && limit.is_none() || known.is_some_and(|known| known.at > at) {
             return false;
         }
         let is_news = known.is_none_or(|known| known.limit != limit);
-        let change = match known {
-            Some(known) if !is_news => known.change,
-            _ => 0,
+        self.changes += u64::from(is_news);
+        let named = match known {
+            Some(known) if !is_news => Named { at, ..known },
+            _ => Named {
+                limit,
+                at,
+                change: self.changes,
+                is_own,
+            },
         };
-        self.named.insert(server, Named { limit, at, change });
+        self.named.insert(server, named);
         if self.named.len() > MAX_SERVERS {
             let oldest = self.named.iter().min_by_key(|(_, named)| named.at);
             if let Some((&oldest, _)) = oldest {
@@ -126,14 +128,27 @@
         self.named.is_empty()
     }
 
-    /// Number of the last change that this gateway read itself.
+    /// Number of servers with a limit.
+    pub fn count(&self) -> usize {
+        let named = self.named.values();
+        named.filter(|named| named.limit.is_some()).count()
+    }
+
+    /// Number of the last change.
     pub fn last_change(&self) -> u64 {
         self.changes
     }
 
-    /// The limits that this gateway read after change number `after`, oldest change first, at most
-    /// `most` of them, and the number of the last change that they cover.
-    pub fn changes_after(&self, after: u64, most: usize, now: Duration) -> (Vec<Report>, u64) {
+    /// The limits that were changed after change number `after`, oldest change first, at most `most` of
+    /// them, and the number of the last change that they cover. `tells` chooses among them by the
+    /// server and by whether this gateway read the limit itself.
+    pub fn changes_after(
+        &self,
+        after: u64,
+        most: usize,
+        now: Duration,
+        tells: impl Fn(u64, bool) -> bool,
+    ) -> (Vec<Report>, u64) {
         let mut changed: Vec<_> = self.named.iter().collect();
         changed.retain(|(_, named)| named.change > after);
         changed.sort_by_key(|(_, named)| named.change);
@@ -142,7 +157,8 @@
             None => self.changes,
         };
         let reports = changed.into_iter().take(most);
-        let reports = reports.filter_map(|(server, _)| self.report(*server, now));
-        (reports.collect(), covered)
+        let told = reports.filter(|(server, named)| tells(**server, named.is_own));
+        let told = told.filter_map(|(server, _)| self.report(*server, now));
+        (told.collect(), covered)
     }
 }
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -90,7 +90,7 @@
     pub announcements: RefCell<announcements::Announcements>,
     /// Limits that backend servers have named.
     pub server_limits: RefCell<server_limits::ServerLimits>,
-    /// Notified when this gateway has read a changed limit.
+    /// Notified when this gateway has read or was told a changed limit.
     pub limits_changed: event_listener::Event,
     /// Permits that this gateway holds for requests to limited servers.
     pub permits: RefCell<permits::Permits>,
--- a/src/gateway/peer_rpc.rs
+++ b/src/gateway/peer_rpc.rs
@@ -334,7 +334,9 @@
         }
         Call::Limits(reports) => {
             let mut limits = gw.server_limits.borrow_mut();
-            limits.merge(reports, gw.now());
+            if limits.merge(reports, gw.now()) {
+                gw.limits_changed.notify(usize::MAX);
+            }
             let known = limits.newest(MAX_LIMITS, gw.now());
             gw.permits_changed.notify(usize::MAX);
             let body = serde_json::to_string(&known).ok()?;
--- a/src/gateway/permit_issuing.rs
+++ b/src/gateway/permit_issuing.rs
@@ -28,15 +28,17 @@
     let now = gw.now();
     let server = report.server;
     let mut limits = gw.server_limits.borrow_mut();
-    limits.merge(&[report], now);
+    if limits.merge(&[report], now) {
+        gw.limits_changed.notify(usize::MAX);
+    }
     let report = limits.report(server, now).unwrap_or(report);
-    let rate = report.limit.unwrap_or_default() * share(gw, server);
-    let grant = match rate > 0.0 {
-        true => gw
-            .permit_issuer
-            .borrow_mut()
-            .issue(server, rate, wanted, now),
-        false => permit_issuer::Grant {
+    let share = share(gw, server);
+    let grant = match report.limit.filter(|_| share > 0.0) {
+        Some(limit) => {
+            let mut issuer = gw.permit_issuer.borrow_mut();
+            issuer.issue(server, limit * share, wanted, now)
+        }
+        None => permit_issuer::Grant {
             permits: 0,
             retry_after: RETRY_DELAY,
         },
--- a/src/gateway/server_limits.rs
+++ b/src/gateway/server_limits.rs
@@ -3,7 +3,7 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use metrics::counter;
+use metrics::{counter, gauge};
 
 use crate::{
     coordination::{self, permit_issuer, permits, suspects},
@@ -11,10 +11,6 @@
     state::server,
 };
 
-/// Longest delay, per gateway in the fleet, after which a changed limit is told. Many gateways read
-/// it at the same time, and those that are told first tell nobody.
-const TELL_DELAY: Duration = Duration::from_millis(5);
-
 /// Time between two rounds of telling.
 const TELL_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -145,33 +141,40 @@
             if telling.server_limits.borrow().last_change() == told {
                 changed.await;
             }
-            let routers = u32::try_from(telling.router_count()).unwrap_or(u32::MAX);
-            let delay = (TELL_DELAY * routers).mul_f64(fastrand::f64());
-            telling.timers.sleep(delay).await;
+            let count = telling.server_limits.borrow().count();
+            gauge!("fulmar_gateway_limited_servers").set(count as f64);
             told = tell(&telling, told).await;
             telling.timers.sleep(TELL_INTERVAL).await;
         }
     });
 }
 
-/// Tells the other gateways of the limits that changed after change number `after`; returns the
-/// number of the last change that was told.
+/// Tells of the limits that changed after change number `after`: all other gateways of those whose
+/// permits this one issues, and the issuers of the others of what this one read. So a change that
+/// many gateways read at once costs each of them one call. Returns the number of the last change that
+/// was told.
 async fn tell(gw: &Rc<core::Gateway>, after: u64) -> u64 {
-    let (reports, covered) = {
+    let now = gw.now();
+    let changes = |tells: &dyn Fn(u64, bool) -> bool| {
         let limits = gw.server_limits.borrow();
-        limits.changes_after(after, peer_rpc::MAX_LIMITS, gw.now())
+        limits.changes_after(after, peer_rpc::MAX_LIMITS, now, tells)
     };
-    if reports.is_empty() {
-        return covered;
-    }
+    let (issued, covered) = changes(&|server, _| issuer(gw, server).is_none());
     let peers: Vec<SocketAddr> = gw.peers.borrow().values().copied().collect();
-    let responsive = peers
-        .into_iter()
-        .filter(|peer| peer_rpc::is_responsive(gw, *peer));
-    let responsive: Vec<_> = responsive.collect();
-    let tell = |peer: &SocketAddr| exchange(gw, *peer, reports.clone());
-    for peers in responsive.chunks(TOLD_AT_A_TIME) {
-        futures::future::join_all(peers.iter().map(&tell)).await;
+    let mut messages = Vec::new();
+    for peer in peers {
+        let (read, _) = changes(&|server, is_own| is_own && issuer(gw, server) == Some(peer));
+        let reports: Vec<_> = issued.iter().copied().chain(read).collect();
+        if !reports.is_empty() && peer_rpc::is_responsive(gw, peer) {
+            messages.push((peer, reports));
+        }
+    }
+    while !messages.is_empty() {
+        let rest = messages.split_off(messages.len().min(TOLD_AT_A_TIME));
+        let sending = messages.into_iter();
+        let sending = sending.map(|(peer, reports)| exchange(gw, peer, reports));
+        futures::future::join_all(sending).await;
+        messages = rest;
     }
     covered
 }
@@ -184,7 +187,9 @@
 ) -> bool {
     match peer_rpc::tell_limits(gw, peer, reports).await {
         Ok(known) => {
-            gw.server_limits.borrow_mut().merge(&known, gw.now());
+            if gw.server_limits.borrow_mut().merge(&known, gw.now()) {
+                gw.limits_changed.notify(usize::MAX);
+            }
             true
         }
         Err(cause) => {
--- a/tests/server_limits.rs
+++ b/tests/server_limits.rs
@@ -188,16 +188,17 @@
     let names = (1..=count).map(|number| format!("entry-{number}"));
     let gateways: Vec<_> = names.map(|name| start_gateway(&name, store)).collect();
     for (gateway, _) in &gateways {
-        let admin = gateway.address("admin");
-        let scrape = "GET /metrics HTTP/1.1\r\nHost: g\r\nConnection: close\r\n\r\n";
-        let peers = format!("fulmar_gateway_peers {}", count - 1);
-        while !call(&admin, scrape).contains(&peers) {
-            thread::sleep(Duration::from_millis(50));
-        }
+        wait_for_metric(gateway, &format!("fulmar_gateway_peers {}", count - 1));
     }
     gateways
 }
 
+fn wait_for_metric(gateway: &Placed, line: &str) {
+    let admin = gateway.address("admin");
+    let scrape = "GET /metrics HTTP/1.1\r\nHost: g\r\nConnection: close\r\n\r\n";
+    common::wait_for(line, || call(&admin, scrape).contains(line));
+}
+
 fn start_store_with_config() -> (common::placed_fleet::Process, String) {
     let (process, store) = start_store();
     let config = configuration(1, 40_000, 5000).to_string();
@@ -252,3 +253,47 @@
     );
     assert_eq!(callers.count(&callers.other), 0);
 }
+
+/// Guards against a limit of zero whose end nobody hears of, since nothing is sent.
+#[test]
+fn the_end_of_a_limit_of_zero_is_heard() {
+    let (_store, store) = start_store_with_config();
+    let server = Server::with_limit(0.0);
+    server.start(&store, "i-0");
+    let gateways = start_gateways(&store, 2);
+    let look = |front: &str| call(front, &request_text("POST", "/look/1", "", "question"));
+    while !look(&gateways[0].1).contains(" 503 ") {}
+    *server.limit.lock().unwrap() = None;
+    common::wait_for("the end of the limit", || {
+        thread::sleep(PAUSE);
+        let fronts = gateways.iter().map(|(_, front)| front);
+        fronts
+            .map(|front| look(front))
+            .all(|text| text.contains(" 200 "))
+    });
+}
+
+/// Guards against a rush at a gateway that has not read the limit itself.
+#[test]
+fn gateways_know_limits_that_others_have_read_also_when_they_start() {
+    let (_store, store) = start_store_with_config();
+    let server = Server::with_limit(1.0);
+    server.start(&store, "i-0");
+    let mut gateways = start_gateways(&store, 4);
+    call(
+        &gateways[0].1,
+        &request_text("POST", "/look/1", "", "question"),
+    );
+    gateways.push(start_gateway("entry-5", &store));
+    for (gateway, _) in &gateways {
+        wait_for_metric(gateway, "fulmar_gateway_limited_servers 1");
+    }
+    let before = server.arrivals.lock().unwrap().len();
+    thread::scope(|scope| {
+        for (_, front) in gateways.iter().skip(1).cycle().take(40) {
+            scope.spawn(|| call(front, &request_text("POST", "/look/1", "", "question")));
+        }
+    });
+    let count = server.arrivals.lock().unwrap().len() - before;
+    assert!(count <= allowed(1.0), "{count} of 40");
+}
