Refuse a suspect that came one copy at a time where it is not tried

A request that came again and again, each time after the crash before, is refused there with 502 now; one of which copies ran at the same time, as a sound one that many callers send, is still told to come back.

--- a/src/coordination/suspect.rs
+++ b/src/coordination/suspect.rs
@@ -47,6 +47,10 @@
     /// out.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub alone: Vec<bool>,
+    /// Whether the request was sent after the crashes before each of them, as far as known; left out
+    /// as above.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub repeats: Vec<bool>,
     /// Milliseconds since a request with the key last ran to its end, as far as known.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub cleared_ms: Option<u64>,
@@ -73,6 +77,7 @@
                 .map(|number| (number as u64, age_ms(number)))
                 .collect(),
             alone: Vec::new(),
+            repeats: Vec::new(),
             cleared_ms: None,
         }
     }
@@ -94,6 +99,8 @@
     pub(super) at: Moment,
     /// Whether no other copy of the request ran at that moment in the fleet, as far as known.
     pub(super) is_alone: bool,
+    /// Whether each request that ran there was sent after the crashes before.
+    pub(super) is_repeat: bool,
 }
 
 impl Crash {
@@ -149,18 +156,28 @@
         rounds
     }
 
+    /// Whether the requests with the key were sent one after the other, each after the crash before.
+    pub(super) fn is_repeated(&self) -> bool {
+        self.crashes.iter().skip(1).all(|crash| crash.is_repeat)
+    }
+
     /// Whether this key rather than another is the cause of crashes at which both were present.
     pub(super) fn outranks(&self, other: &Self) -> bool {
         let rank = |it: &Self| (it.crashes.len(), std::cmp::Reverse(it.distance));
         rank(self) > rank(other)
     }
 
-    /// Adds a crash unless it is known; returns whether it was added.
+    /// Adds a crash unless it is known; returns whether this changed anything.
     pub(super) fn add(&mut self, crash: Crash) -> bool {
         let is_old = self.crashes.len() == MAX_CRASHES && crash.at <= self.crashes[0].at;
-        if is_old || self.crashes.iter().any(|it| it.is_same(&crash)) {
+        if is_old {
             return false;
         }
+        if let Some(known) = self.crashes.iter_mut().find(|it| it.is_same(&crash)) {
+            let is_news = known.is_repeat && !crash.is_repeat;
+            known.is_repeat &= crash.is_repeat;
+            return is_news;
+        }
         let at = self.crashes.partition_point(|it| it.at <= crash.at);
         self.crashes.insert(at, crash);
         if self.crashes.len() > MAX_CRASHES {
@@ -200,7 +217,8 @@
                 .clone()
                 .map(|it| (it.server, age_ms(it.at)))
                 .collect(),
-            alone: crashes.map(|it| it.is_alone).collect(),
+            alone: crashes.clone().map(|it| it.is_alone).collect(),
+            repeats: crashes.map(|it| it.is_repeat).collect(),
             cleared_ms: self.cleared.map(age_ms),
         }
     }
--- a/src/coordination/suspect_turns.rs
+++ b/src/coordination/suspect_turns.rs
@@ -11,6 +11,9 @@
     Later,
     /// Only by the gateway at which the suspects of the service run alone.
     Elsewhere,
+    /// As [`Self::Elsewhere`], and no other request explains the crashes: the servers ended one after
+    /// the other, each under the repeat that followed.
+    Never,
 }
 
 /// A running request that was a suspect when it was sent.
--- a/src/coordination/suspects.rs
+++ b/src/coordination/suspects.rs
@@ -7,7 +7,7 @@
 //! request with it runs to its end at any gateway: what crashes servers never does. Gateways
 //! exchange counts and clearances, since requests with the same key come to any of them.
 
-use std::{collections::HashMap, iter, time::Duration};
+use std::{collections::HashMap, time::Duration};
 
 use crate::{
     coordination::{crashes, suspect, suspect_keys, suspect_turns},
@@ -71,6 +71,7 @@
         let at = suspect::moment(now);
         let whole = keys.whole();
         let is_alone = self.turns.is_alone(keys);
+        let sent = suspect::moment(sent);
         let mut highest = 0;
         for (key, distance) in counted {
             let known = self.current(key, now).cloned();
@@ -83,9 +84,10 @@
                 server,
                 at,
                 is_alone: is_alone && key == whole,
+                is_repeat: suspect.crashes.iter().all(|it| sent >= it.at),
             };
             let noticed = suspect.crashes.iter().rev().find(|it| it.server == server);
-            if noticed.is_none_or(|it| suspect::moment(sent) >= it.at) && suspect.add(crash) {
+            if noticed.is_none_or(|it| sent >= it.at) && suspect.add(crash) {
                 highest = highest.max(suspect.crashes.len());
                 self.set(key, suspect);
             }
@@ -142,12 +144,12 @@
             Some(ms) if is_known => suspect.clear(before(ms)),
             _ => false,
         };
-        let alone = report.alone.iter().chain(iter::repeat(&false));
-        for ((server, age_ms), is_alone) in report.crashes.iter().zip(alone) {
+        for (number, (server, age_ms)) in report.crashes.iter().enumerate() {
             let crash = suspect::Crash {
                 server: *server,
                 at: before(*age_ms),
-                is_alone: *is_alone,
+                is_alone: report.alone.get(number).is_some_and(|it| *it),
+                is_repeat: report.repeats.get(number).is_some_and(|it| *it),
             };
             let is_recent = Duration::from_millis(*age_ms) < crashes::CRASH_RETENTION;
             if is_recent && cleared.is_none_or(|at| crash.at >= at) {
@@ -199,7 +201,7 @@
     /// gateway, so that copies of it don't end with the next server. After
     /// [`suspect::REFUSAL_THRESHOLD`] crashes it runs alone in the fleet: one gateway, which `runs`
     /// names by the number of the service, sends all such requests of the service, one after the
-    /// other.
+    /// other. The others refuse those that came again and again by themselves.
     ///
     /// ```
     /// use std::time::Duration;
@@ -219,12 +221,15 @@
         runs: impl Fn(u64) -> bool,
     ) -> suspect_turns::Turn {
         let known = self.current(keys.whole(), now);
-        if known.is_none_or(|known| known.age(now) >= TRIAL_DELAY) {
+        let Some(known) = known.filter(|known| known.age(now) < TRIAL_DELAY) else {
             return suspect_turns::Turn::Now;
-        }
+        };
         let runs_alone = self.runs_alone(keys, now);
         if runs_alone && !runs(keys.service()) {
-            return suspect_turns::Turn::Elsewhere;
+            return match known.is_repeated() {
+                true => suspect_turns::Turn::Never,
+                false => suspect_turns::Turn::Elsewhere,
+            };
         }
         match self.turns.must_wait(keys, runs_alone) {
             true => suspect_turns::Turn::Later,
--- a/src/gateway/choosing.rs
+++ b/src/gateway/choosing.rs
@@ -74,6 +74,7 @@
             },
             suspect_turns::Turn::Later => (),
             suspect_turns::Turn::Elsewhere => return Err(Unplaced::Held),
+            suspect_turns::Turn::Never => return Err(Unplaced::Refused),
         }
         let wait = turn_until.saturating_sub(gw.now());
         let ended = gw.crash_notes.turns.listen();
--- a/tests/poisoned_parts.rs
+++ b/tests/poisoned_parts.rs
@@ -291,7 +291,8 @@
             at: self.now,
         };
         if !is_poisoned {
-            let is_refused = self.refuses(&arrival) || self.turn(&arrival) == Turn::Elsewhere;
+            let is_elsewhere = matches!(self.turn(&arrival), Turn::Elsewhere | Turn::Never);
+            let is_refused = self.refuses(&arrival) || is_elsewhere;
             self.sound.push((self.now, first, !is_refused));
         }
         self.send(arrival);
@@ -323,7 +324,7 @@
         match self.turn(&arrival) {
             Turn::Now => (),
             Turn::Later => return self.wait(arrival),
-            Turn::Elsewhere => return,
+            Turn::Elsewhere | Turn::Never => return,
         }
         let known = &mut self.gateways[arrival.gateway];
         known.begin_trial(&arrival.keys, now);
