Log the software version of servers, and each request that resumes a stream

Logs did not tell a resumed stream from a new one, who resumes it, nor which software a server runs. The list of servers now carries the version, which the platform requires of each entry; an entry without one names no server, as one without an address. Stand-ins of tests name a version.

--- a/src/coordination/announcements.rs
+++ b/src/coordination/announcements.rs
@@ -59,7 +59,7 @@
     /// use fulmarproxy::{coordination::announcements::{Announcement, Announcements}, state::server};
     /// let server = server::Server {
     ///     id: "i-1".into(), service: "s".into(), address: "10.0.0.1:80".parse().unwrap(),
-    ///     zone: "a".into(), slots: 1, takes_work: true, started_unix_ms: 5,
+    ///     zone: "a".into(), software: "v1".into(), slots: 1, takes_work: true, started_unix_ms: 5,
     /// };
     /// let mut said = Announcements::default();
     /// let leaving = Announcement { is_leaving: true, ..Announcement::default() };
--- a/src/coordination/expired_entries.rs
+++ b/src/coordination/expired_entries.rs
@@ -26,6 +26,7 @@
     ///         id: id.into(),
     ///         service: "model".into(),
     ///         address: "10.0.0.1:80".parse().unwrap(),
+    ///         software: "v1".into(),
     ///         zone: "a".into(),
     ///         slots: 8,
     ///         takes_work: true,
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -112,7 +112,7 @@
     /// use fulmarproxy::{coordination::placement, state::server};
     /// let server = Arc::new(server::Server {
     ///     id: "i-1".into(), service: "s".into(), address: "10.0.0.1:80".parse().unwrap(),
-    ///     zone: "a".into(), slots: 1, takes_work: true, started_unix_ms: 0,
+    ///     zone: "a".into(), software: "v1".into(), slots: 1, takes_work: true, started_unix_ms: 0,
     /// });
     /// let prompt = placement::Prompt { prefix: Some(7), shared_tokens: 400, own_tokens: 20 };
     /// let placed = placement::Placement::default().choose_server(&[server], &prompt, 0).unwrap();
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -132,10 +132,11 @@
         id,
         service,
         address,
+        software,
         takes_work,
         ..
     } = &found;
-    tracing::info!(%id, %service, %address, takes_work, "directory: backend server listed");
+    tracing::info!(%id, %service, %address, %software, takes_work, "directory: backend server listed");
     directory.servers.insert(found.id.clone(), Arc::new(found));
     gauge!("fulmar_gateway_servers").set(directory.servers.len() as f64);
     drop(directory);
--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -14,7 +14,7 @@
         relay, request_log,
     },
     platform::headers,
-    state::name,
+    state::{name, server},
     transport::h1::{body, conn, fault, head},
 };
 
@@ -99,6 +99,7 @@
             let (id, left) = (&log.id, req.time_left(gw.now()).as_millis() as u64);
             tracing::info!(id, server = %server.id, running, left, "request: sent");
         }
+        log_resumption(req, server, log, stream);
         let started = gw.now();
         let isolation = crash_reports::IsolationGuard::new(gw, server, &req.outgoing.keys);
         let end = try_server(gw, caller, req, &placed, stream, close).await;
@@ -153,6 +154,26 @@
     }
 }
 
+/// Counts and logs a request that asks a server for the rest of a stream.
+fn log_resumption(
+    req: &Admitted,
+    server: &server::Server,
+    log: &request_log::RequestLog,
+    stream: &relay::EventStream,
+) {
+    let by_caller = headers::resumption(&req.outgoing.head.headers);
+    let (by, resumes) = match (&stream.last_id, by_caller) {
+        (Some(_), _) => ("gateway", &*log.id),
+        (None, Some(resumption)) => ("caller", resumption.first_request),
+        (None, None) => return,
+    };
+    counter!("fulmar_gateway_resumptions_total", "by" => by).increment(1);
+    if log.may_log_failure() {
+        let (id, server, software) = (&log.id, &server.id, &server.software);
+        tracing::info!(id, by, resumes, %server, %software, "request: resumes a stream");
+    }
+}
+
 /// Takes one of the retries that are left to the service; false when there is none.
 fn take_retry(gw: &core::Gateway, service: &name::Name) -> bool {
     let mut retry_windows = gw.retry_windows.borrow_mut();
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -19,6 +19,9 @@
 /// Id of the last event that the caller has received, to resume a stream after it.
 pub const LAST_EVENT_ID: &str = "Last-Event-Id";
 
+/// Id of the request that brought the first event of a stream which the caller takes up again.
+pub const RESUMES: &str = "Resumes";
+
 /// Seconds after which a caller may try again.
 pub const RETRY_AFTER: &str = "Retry-After";
 
@@ -123,6 +126,36 @@
     })
 }
 
+/// A stream that a caller takes up again after it broke off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Resumption<'a> {
+    /// Id of the request that brought the first event; empty when the caller does not name it.
+    pub first_request: &'a str,
+    /// Id of the last event that the caller has received; empty when it does not name one.
+    pub last_event: &'a str,
+}
+
+/// The stream that a request goes on with; `None` when it begins one.
+///
+/// ```
+/// use fulmarproxy::{platform::headers, transport::h1::head};
+/// let mut given = head::Headers::default();
+/// assert!(headers::resumption(&given).is_none());
+/// given.push("Last-Event-Id", b"7");
+/// given.push("Resumes", b"9c41d0");
+/// assert_eq!(headers::resumption(&given).unwrap().first_request, "9c41d0");
+/// ```
+pub fn resumption(headers: &head::Headers) -> Option<Resumption<'_>> {
+    let (first_request, last_event) = (headers.text(RESUMES), headers.text(LAST_EVENT_ID));
+    if first_request.is_none() && last_event.is_none() {
+        return None;
+    }
+    Some(Resumption {
+        first_request: first_request.unwrap_or_default(),
+        last_event: last_event.unwrap_or_default(),
+    })
+}
+
 /// Parts of a request's prompt, in order. Those that do not parse are left out.
 pub fn prompt_parts(headers: &head::Headers) -> Vec<PromptPart> {
     let parts = headers.text(PROMPT_PREFIX).unwrap_or_default().split(',');
--- a/src/platform/servers.rs
+++ b/src/platform/servers.rs
@@ -12,18 +12,22 @@
     service: String,
     address: String,
     zone: String,
+    /// Version of the server's software.
+    version: String,
     slots: Option<u32>,
     state: String,
     /// Start time of the process in Unix milliseconds.
     born: Option<u64>,
 }
 
-/// Decodes an entry; `None` when it does not parse or its state is neither `ready` nor `draining`.
+/// Decodes an entry; `None` when it does not parse, lacks the version of the server's software, or its
+/// state is neither `ready` nor `draining`.
 ///
 /// ```
 /// use fulmarproxy::platform::servers;
-/// let entry = br#"{"service":"s","address":"10.0.0.1:80","zone":"a","state":"ready"}"#;
-/// assert!(servers::decode("servers/i-1", entry).unwrap().takes_work);
+/// let entry = br#"{"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1","state":"ready"}"#;
+/// let server = servers::decode("servers/i-1", entry).unwrap();
+/// assert!(server.takes_work && &*server.software == "v1");
 /// assert!(servers::decode("servers/i-1", b"?").is_none());
 /// ```
 pub fn decode(key: &str, bytes: &[u8]) -> Option<server::Server> {
@@ -38,6 +42,7 @@
         id: name::Name::from(id),
         service: name::Name::from(&*entry.service),
         address: entry.address.parse().ok()?,
+        software: name::Name::from(&*entry.version),
         zone: name::Name::from(&*entry.zone),
         slots: entry.slots.unwrap_or(1),
         takes_work,
--- a/src/state/server.rs
+++ b/src/state/server.rs
@@ -13,6 +13,8 @@
     pub service: name::Name,
     /// Address that accepts requests.
     pub address: SocketAddr,
+    /// Version of the software that the server runs. Streams of different versions don't fit together.
+    pub software: name::Name,
     /// Availability zone.
     pub zone: name::Name,
     /// Requests that the server runs concurrently.
--- a/tests/announcements.rs
+++ b/tests/announcements.rs
@@ -34,7 +34,7 @@
     let servers = env.gw.directory.borrow().servers.clone();
     let address = servers[id].address.to_string();
     let entry = json!({"service": "plain", "address": address, "zone": "zone-a", "slots": 8,
-                       "state": "ready", "sequence": 2, "born": started_unix_ms});
+                       "state": "ready", "version": "v1", "sequence": 2, "born": started_unix_ms});
     env.store.put(&format!("servers/{id}"), &entry.to_string());
 }
 
@@ -249,6 +249,7 @@
             zone: "zone-a".into(),
             slots: 8,
             takes_work: true,
+            software: "v1".into(),
             started_unix_ms,
         })
     };
--- a/tests/common/servers.rs
+++ b/tests/common/servers.rs
@@ -10,6 +10,7 @@
         id: format!("i-{number}").into(),
         service: "model".into(),
         address: format!("10.0.0.{}:80", number + 1).parse().unwrap(),
+        software: "v1".into(),
         zone: "zone-a".into(),
         slots: 64,
         takes_work: true,
--- a/tests/crash_soak.rs
+++ b/tests/crash_soak.rs
@@ -341,7 +341,7 @@
     put(&store, "op/config", &config.to_string());
     for number in 0..SERVERS {
         let entry = json!({"service": "model", "address": servers.start(rng.u64(..)).to_string(),
-                           "zone": "a", "slots": 8, "state": "ready", "sequence": 1});
+                           "zone": "a", "slots": 8, "state": "ready", "version": "v1", "sequence": 1});
         put(&store, &format!("servers/i-{number}"), &entry.to_string());
     }
     let started = NAMES.map(|name| start_gateway(name, &store));
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -209,7 +209,7 @@
     );
     for number in 0..5 {
         let entry = json!({"service": "plain", "address": servers.start().to_string(),
-                           "zone": "a", "slots": 8, "state": "ready", "sequence": 1});
+                           "zone": "a", "slots": 8, "state": "ready", "version": "v1", "sequence": 1});
         put(&store, &format!("servers/i-{number}"), &entry.to_string());
     }
     let mut gateways = start_gateways(&store);
@@ -255,7 +255,7 @@
     put(&store, "op/config", &config);
     for number in 0..4 {
         let entry = json!({"service": "plain", "address": servers.start().to_string(),
-                           "zone": "a", "slots": 8, "state": "ready", "sequence": 1});
+                           "zone": "a", "slots": 8, "state": "ready", "version": "v1", "sequence": 1});
         put(&store, &format!("servers/i-{number}"), &entry.to_string());
     }
     let gateways = start_gateways(&store);
@@ -290,7 +290,7 @@
         put(&store, "op/config", &config);
         for number in 0..5 {
             let entry = json!({"service": "model", "address": servers.start().to_string(),
-                               "zone": "a", "slots": 8, "state": "ready", "sequence": 1});
+                               "zone": "a", "slots": 8, "state": "ready", "version": "v1", "sequence": 1});
             put(&store, &format!("servers/i-{number}"), &entry.to_string());
         }
         let mut gateways = start_gateways(&store);
--- a/tests/endless_answers.rs
+++ b/tests/endless_answers.rs
@@ -132,7 +132,7 @@
         put(&store, "op/config", &config);
         for (number, service) in ["plain", "plain", "model", "model"].iter().enumerate() {
             let entry = json!({"service": service, "address": start_server(case, is_slow),
-                               "zone": "a", "slots": 64, "state": "ready", "sequence": 1});
+                               "zone": "a", "slots": 64, "state": "ready", "version": "v1", "sequence": 1});
             put(&store, &format!("servers/i-{number}"), &entry.to_string());
         }
         let (gateway, front) = start_gateway("entry-1", &store);
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -637,7 +637,7 @@
     run_test(&configuration(1, AMPLE_BUDGET, TIMEOUT_MS), async |env| {
         for number in 0..40 {
             let entry = format!(
-                r#"{{"service":"plain","address":"10.0.0.1:{}","zone":"a","slots":8,"state":"ready"}}"#,
+                r#"{{"service":"plain","address":"10.0.0.1:{}","zone":"a","slots":8,"state":"ready","version":"v1"}}"#,
                 number + 1
             );
             env.store.put(&format!("servers/w-{number}"), &entry);
@@ -659,8 +659,7 @@
     });
 }
 
-const EXAMPLE_ENTRY: &str =
-    r#"{"service":"plain","address":"10.0.0.1:1","zone":"a","slots":8,"state":"ready"}"#;
+const EXAMPLE_ENTRY: &str = r#"{"service":"plain","address":"10.0.0.1:1","zone":"a","slots":8,"state":"ready","version":"v1"}"#;
 
 /// Takes the store away, removes an entry meanwhile, and waits until the gateway keeps its server for
 /// a time. Returns the end of the outage.
--- a/tests/gateway_world/mod.rs
+++ b/tests/gateway_world/mod.rs
@@ -182,7 +182,7 @@
             *server_count
         };
         let entry = json!({"service": service, "address": address.to_string(), "zone": "zone-a",
-                           "slots": 8, "state": "ready", "sequence": 1});
+                           "slots": 8, "state": "ready", "version": "v1", "sequence": 1});
         self.store
             .put(&format!("servers/i-{number}"), &entry.to_string());
         let id = format!("i-{number}");
--- a/tests/retry_budget.rs
+++ b/tests/retry_budget.rs
@@ -108,7 +108,7 @@
     put(&store, "op/config", &config);
     for number in 0..3 {
         let entry = json!({"service": "plain", "address": start_failing_server(&arrivals),
-                           "zone": "a", "slots": 8, "state": "ready", "sequence": 1});
+                           "zone": "a", "slots": 8, "state": "ready", "version": "v1", "sequence": 1});
         put(&store, &format!("servers/i-{number}"), &entry.to_string());
     }
     for _ in 0..3 {
--- a/tests/rollback_drill.rs
+++ b/tests/rollback_drill.rs
@@ -68,7 +68,7 @@
         &configuration(1, PREPAID, 5000).to_string(),
     );
     let entry = json!({"service": "model", "address": start_engine(&SERVED), "zone": "a",
-                       "slots": 8, "state": "ready", "sequence": 1});
+                       "slots": 8, "state": "ready", "version": "v1", "sequence": 1});
     put(&store, "servers/i-1", &entry.to_string());
     let (first, front) = start_gateway("entry-1", &store);
     let (second, other) = start_gateway("entry-2", &store);
--- a/tests/server_limits.rs
+++ b/tests/server_limits.rs
@@ -60,7 +60,7 @@
             }
         });
         let entry = json!({"service": "plain", "address": address, "zone": "a", "slots": 64,
-                           "state": "ready", "sequence": 1});
+                           "state": "ready", "version": "v1", "sequence": 1});
         put(store, &format!("servers/{id}"), &entry.to_string());
     }
 
