--- a/tests/gateway_world/mod.rs
+++ b/tests/gateway_world/mod.rs
@@ -171,6 +171,16 @@
         &self,
         service: &str,
         answer: impl Fn(&scripted_server::ReceivedRequest) -> Vec<scripted_server::Step> + 'static,
+    ) -> Rc<scripted_server::ScriptedServer> {
+        self.start_server_of(service, "v1", answer).await
+    }
+
+    /// As [`Self::start_server`], for a server with this version of its software.
+    pub async fn start_server_of(
+        &self,
+        service: &str,
+        software: &str,
+        answer: impl Fn(&scripted_server::ReceivedRequest) -> Vec<scripted_server::Step> + 'static,
     ) -> Rc<scripted_server::ScriptedServer> {
         let server = scripted_server::ScriptedServer::new(Rc::new(answer));
         let (listener, address) = platform_store::listener().await.unwrap();
@@ -182,7 +192,8 @@
             *server_count
         };
         let entry = json!({"service": service, "address": address.to_string(), "zone": "zone-a",
-                           "slots": 8, "state": "ready", "version": "v1", "sequence": 1});
+                           "slots": 8, "state": "ready", "version": software,
+                           "sequence": 1});
         self.store
             .put(&format!("servers/i-{number}"), &entry.to_string());
         let id = format!("i-{number}");
