--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! Starts a small fleet as separate processes on free loopback ports.
 #![allow(dead_code)]
 
+pub mod disturbed_fleet;
 pub mod placed;
 pub mod placed_fleet;
 pub mod proxy;
--- a/tests/limit_soak.rs
+++ b/tests/limit_soak.rs
@@ -9,7 +9,7 @@
 
 use std::{
     collections::BTreeMap,
-    io::{BufRead, BufReader, Read, Write},
+    io::{BufReader, Read, Write},
     net::{TcpListener, TcpStream},
     sync::{
         Arc, Mutex,
@@ -20,16 +20,14 @@
 };
 
 use common::{
-    placed::Placed,
-    placed_fleet::{put, start_gateway, start_store},
+    disturbed_fleet::{Disturbed, Fleet, Fronts, SETTLE_TIME, read_head},
+    placed_fleet::{put, start_store},
 };
 use gateway_world::{configuration, request_text};
 use serde_json::json;
 
-/// Window over which the platform counts requests, and the time after a disruption of a gateway, and
-/// after a server first named its limit, from which it does.
+/// Window over which the platform counts requests.
 const WINDOW: Duration = Duration::from_secs(4);
-const SETTLE_TIME: Duration = Duration::from_secs(3);
 
 /// Time from which requests of a gateway count that has passed an answer with the limit on.
 const TOLD_TIME: Duration = Duration::from_millis(500);
@@ -146,49 +144,6 @@
     }
 }
 
-/// When each gateway was disturbed: from, until.
-#[derive(Clone, Default)]
-struct Disturbed(Arc<Mutex<Vec<(String, Instant, Instant)>>>);
-
-impl Disturbed {
-    fn add(&self, gateway: &str, from: Instant) {
-        let entry = (gateway.to_owned(), from, Instant::now());
-        self.0.lock().unwrap().push(entry);
-    }
-
-    fn excuses(&self, gateway: &str, at: Instant) -> bool {
-        let entries = self.0.lock().unwrap();
-        let mut own = entries.iter().filter(|(name, ..)| name == gateway);
-        own.any(|(_, from, until)| at >= *from && at < *until + SETTLE_TIME)
-    }
-}
-
-/// Reads the head of a message; the names of headers in lower case. `None` when the connection ends.
-fn read_head(reader: &mut BufReader<TcpStream>) -> Option<BTreeMap<String, String>> {
-    let mut headers = BTreeMap::new();
-    loop {
-        let mut line = String::new();
-        if reader.read_line(&mut line).ok()? == 0 {
-            return None;
-        }
-        let line = line.trim();
-        if line.is_empty() {
-            return Some(headers);
-        }
-        match line.split_once(": ") {
-            Some((name, value)) => {
-                headers.insert(name.to_ascii_lowercase(), value.to_owned());
-            }
-            None => {
-                headers.insert(String::new(), line.to_owned());
-            }
-        }
-    }
-}
-
-/// Names and addresses of the gateways that callers may connect to.
-type Fronts = Arc<Mutex<Vec<(String, String)>>>;
-
 #[derive(Clone, Default)]
 struct Callers {
     is_over: Arc<AtomicBool>,
@@ -237,61 +192,6 @@
     }
 }
 
-/// The gateways of a play, some of which end and are replaced.
-struct Fleet {
-    gateways: Vec<(String, Placed)>,
-    fronts: Fronts,
-    store: String,
-    started: usize,
-}
-
-impl Fleet {
-    fn add(&mut self, disturbed: &Disturbed) {
-        self.started += 1;
-        let name = format!("entry-{}", self.started);
-        let from = Instant::now();
-        let (gateway, front) = start_gateway(&name, &self.store);
-        disturbed.add(&name, from);
-        self.fronts.lock().unwrap().push((name.clone(), front));
-        self.gateways.push((name, gateway));
-    }
-
-    /// Disturbs a gateway, or two at once.
-    fn disturb(&mut self, rng: &mut fastrand::Rng, disturbed: &Disturbed) {
-        let count = rng.usize(1..3).min(self.gateways.len() - 1);
-        let kind = rng.u8(..4);
-        let from = Instant::now();
-        for _ in 0..count {
-            let number = rng.usize(..self.gateways.len());
-            let (name, gateway) = &self.gateways[number];
-            let name = name.clone();
-            match kind {
-                0 | 1 => {
-                    self.fronts.lock().unwrap().retain(|(it, _)| *it != name);
-                    let (_, gateway) = self.gateways.remove(number);
-                    if kind == 1 {
-                        gateway.signal("-TERM");
-                        let end = move || thread::sleep(SETTLE_TIME);
-                        thread::spawn(move || {
-                            end();
-                            drop(gateway);
-                        });
-                    }
-                    disturbed.add(&name, from);
-                    self.add(disturbed);
-                }
-                2 => gateway.signal("-HUP"),
-                _ => {
-                    gateway.signal("-STOP");
-                    thread::sleep(Duration::from_millis(rng.u64(100..1500)));
-                    gateway.signal("-CONT");
-                    disturbed.add(&name, from);
-                }
-            }
-        }
-    }
-}
-
 fn random_limit(rng: &mut fastrand::Rng) -> Option<f64> {
     let limits = [
         None,
@@ -317,12 +217,7 @@
         .map(|number| Server::start(&store, &format!("i-{number}")))
         .collect();
     let callers = Callers::default();
-    let mut fleet = Fleet {
-        gateways: Vec::new(),
-        fronts: callers.fronts.clone(),
-        store,
-        started: 0,
-    };
+    let mut fleet = Fleet::new(store, callers.fronts.clone());
     for _ in 0..rng.usize(2..7) {
         fleet.add(&disturbed);
     }
