Keep records of releases through long outages, and test how they are closed

A gateway counted on the record of a release for a quarter of an hour after it last had a confirmed list, so an outage of the store that was longer would have had all new resumable streams refused. Found by reading. It is two hours now, and records are closed after four. The steps of closing are a decision without I/O, with tests; a server that is no longer listed is not kept among those that have ended.

--- a/src/coordination/releases.rs
+++ b/src/coordination/releases.rs
@@ -13,15 +13,15 @@
 use crate::state::{name, release};
 
 /// Time without a listed server after which a release's record is closed. It must be far longer than a
-/// stream can last.
-pub const CLOSE_AFTER: Duration = Duration::from_secs(30 * 60);
+/// stream lasts, and than regions lose each other, with servers that one of them still uses.
+pub const CLOSE_AFTER: Duration = Duration::from_secs(4 * 3600);
 
 /// Time between the two steps of closing a record, for gateways that have read the record before.
 pub const CLOSE_DELAY: Duration = Duration::from_secs(60);
 
-/// Time without a listed server after which a gateway no longer counts on what it knows of a record,
-/// well before another gateway closes it.
-const MAX_UNLISTED: Duration = Duration::from_secs(15 * 60);
+/// Time without a listed server, or without a confirmed list, after which a gateway no longer counts on
+/// what it knows of a record, well before another gateway closes it.
+const MAX_UNLISTED: Duration = Duration::from_secs(2 * 3600);
 
 /// A release's record as it was read.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -32,6 +32,17 @@
     pub is_closing: bool,
 }
 
+/// The next step to close the record of an unused release.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Closing {
+    /// Mark the record as closing.
+    Mark,
+    /// Wait; a gateway that uses the release again writes the record anew meanwhile.
+    Wait,
+    /// Delete the record if it is unchanged.
+    Delete,
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Known {
     /// Era of the store in which the record is known to exist.
@@ -40,6 +51,8 @@
     listed_at: Option<Duration>,
     /// Time at which the release became known.
     known_since: Duration,
+    /// Revision of the record that is closing, and the time at which it was first seen.
+    closing: Option<(u64, Duration)>,
 }
 
 impl Known {
@@ -148,6 +161,41 @@
         unused.map(|(release, _)| release.clone()).collect()
     }
 
+    /// The next step to close the record of an unused release, which was read at this revision.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use fulmarproxy::{coordination::releases::{self, Closing}, state::release::Release};
+    /// let (mut known, old) = (releases::Releases::default(), Release::new("model", "v1"));
+    /// known.record_listed([old.clone()], Duration::ZERO);
+    /// let now = releases::CLOSE_AFTER;
+    /// assert_eq!(known.closing_step(&old, 5, false, now), Closing::Mark);
+    /// assert_eq!(known.closing_step(&old, 6, true, now), Closing::Wait);
+    /// let later = now + releases::CLOSE_DELAY;
+    /// assert_eq!(known.closing_step(&old, 6, true, later), Closing::Delete);
+    /// assert_eq!(known.closing_step(&old, 9, true, later), Closing::Wait, "it was written anew");
+    /// ```
+    pub fn closing_step(
+        &mut self,
+        release: &release::Release,
+        revision: u64,
+        is_closing: bool,
+        now: Duration,
+    ) -> Closing {
+        if !is_closing {
+            return Closing::Mark;
+        }
+        let known = self.entry(release.clone(), now);
+        match known.closing {
+            Some((seen, at)) if seen == revision && now >= at + CLOSE_DELAY => Closing::Delete,
+            Some((seen, _)) if seen == revision => Closing::Wait,
+            _ => {
+                known.closing = Some((revision, now));
+                Closing::Wait
+            }
+        }
+    }
+
     /// Whether several releases of a service are known, so that where a stream began must be noted.
     pub fn is_mixed(&self, service: &str) -> bool {
         let of_service = self.known.keys().filter(|it| &*it.service == service);
--- a/src/gateway/crash_reports.rs
+++ b/src/gateway/crash_reports.rs
@@ -105,7 +105,9 @@
         Err(err) if err.kind() == ErrorKind::ConnectionRefused => {
             let directory = gw.directory.borrow();
             let is_listed = directory.servers.get(id).is_some_and(|it| it.takes_work);
-            gw.ended_servers.borrow_mut().record(server, gw.now());
+            if directory.servers.contains_key(id) {
+                gw.ended_servers.borrow_mut().record(server, gw.now());
+            }
             is_listed && !gw.announcements.borrow().is_leaving(server, gw.now())
         }
         Err(err) => {
--- a/src/gateway/releases.rs
+++ b/src/gateway/releases.rs
@@ -7,7 +7,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{HashMap, HashSet},
+    collections::HashSet,
     rc::Rc,
     time::Duration,
 };
@@ -71,8 +71,6 @@
     /// Number of reads that have begun, and the one whose result is in `read`.
     begun: Cell<u64>,
     completed: Cell<u64>,
-    /// Releases whose items are being closed: the revision of the first step, and when it was seen.
-    closing: RefCell<HashMap<release::Release, (u64, Duration)>>,
     /// Held while the record is read. No other lock is taken meanwhile.
     reading: smol::lock::Mutex<()>,
 }
@@ -314,35 +312,26 @@
     key: String,
     item: &store::Item,
 ) -> Result<(), store::StoreError> {
-    let notes = &gw.release_notes;
     let is_closing = decode(item).is_some_and(|recorded| recorded.is_closing);
-    let seen = notes.closing.borrow().get(release).copied();
+    let step = {
+        let mut known = gw.release_notes.known.borrow_mut();
+        known.closing_step(release, item.revision, is_closing, gw.now())
+    };
     let mut write = store::Write {
         conditions: vec![(key.clone(), item.revision)],
         ..store::Write::default()
     };
     rollback::add_condition(gw, &mut write);
-    match seen {
-        Some((revision, at)) if is_closing && revision == item.revision => {
-            if gw.now() < at + releases::CLOSE_DELAY {
-                return Ok(());
-            }
-            write.deletes.push(key);
-        }
-        _ if is_closing => {
-            let first = (item.revision, gw.now());
-            notes.closing.borrow_mut().insert(release.clone(), first);
-            return Ok(());
-        }
-        _ => write.puts.push((key, encode(release, true)?)),
+    match step {
+        releases::Closing::Mark => write.puts.push((key, encode(release, true)?)),
+        releases::Closing::Wait => return Ok(()),
+        releases::Closing::Delete => write.deletes.push(key),
     }
-    let is_deleted = !write.deletes.is_empty();
     let outcome = gw.store.write(&write).await?;
     let release::Release { service, software } = release;
-    tracing::info!(%service, %software, is_deleted, ?outcome, "releases: closing an unused one");
-    if is_deleted && matches!(outcome, store::WriteOutcome::Applied(_)) {
-        notes.closing.borrow_mut().remove(release);
-        notes.known.borrow_mut().record_closed(release);
+    tracing::info!(%service, %software, ?step, ?outcome, "releases: closing an unused one");
+    if step == releases::Closing::Delete && matches!(outcome, store::WriteOutcome::Applied(_)) {
+        gw.release_notes.known.borrow_mut().record_closed(release);
     }
     Ok(())
 }
--- a/tests/stream_releases.rs
+++ b/tests/stream_releases.rs
@@ -749,3 +749,25 @@
         assert!(failed.any(|story| story.contains(rule)), "{fault:?}");
     }
 }
+
+#[test]
+fn streams_begin_through_a_long_outage_of_the_store_and_never_at_a_release_that_may_be_closed() {
+    let hours = |count: u64| Duration::from_secs(count * 3600);
+    let (mut known, old) = (Releases::default(), version(0));
+    known.record_listed([old.clone()], Duration::ZERO);
+    known.record_written(std::slice::from_ref(&old), 0);
+    assert!(known.is_recorded(&old, 0, hours(1)));
+    assert!(known.unused(hours(3)).is_empty());
+    assert!(!known.is_recorded(&old, 0, hours(3)));
+    assert_eq!(known.unused(releases::CLOSE_AFTER), vec![old.clone()]);
+    // A server of the release is back: its record must be seen or written anew first.
+    known.record_listed([old.clone()], hours(5));
+    assert!(!known.is_recorded(&old, 0, hours(5)));
+    assert_eq!(known.unrecorded(0, hours(5)), vec![old.clone()]);
+    let closing = Recorded {
+        release: old.clone(),
+        is_closing: true,
+    };
+    known.record_read(&[closing], 0, hours(5));
+    assert_eq!(known.unrecorded(0, hours(5)), [old]);
+}
