--- a/src/coordination/origin_search.rs
+++ b/src/coordination/origin_search.rs
@@ -56,8 +56,8 @@
 
 impl<P> Search<P> {
     /// Starts a search. `own` is the note of this gateway, `ranked` are the others in the order of their
-    /// rank for the stream. `is_mixed` tells whether this gateway knows several releases of the service;
-    /// then the record can't answer.
+    /// rank for the stream. With `is_mixed` this gateway knows several releases of the service, and
+    /// the record can't answer.
     ///
     /// ```
     /// use fulmarproxy::{coordination::origin_search::{Origin, Search, Step}, state::release::Release};
--- a/src/coordination/releases.rs
+++ b/src/coordination/releases.rs
@@ -6,7 +6,7 @@
 //! began it and whether that one still runs.
 //!
 //! Handles releases that return after they were gone, records that vanish because the store came back
-//! from an old copy, and gateways that have not heard from the store for long.
+//! from an old copy, and gateways that have been cut off from the store for long.
 
 use std::{collections::HashMap, time::Duration};
 
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -135,7 +135,7 @@
     pub last_event: &'a str,
 }
 
-/// The stream that a request goes on with; `None` when it begins one.
+/// The stream that a request resumes; `None` when it begins one.
 ///
 /// ```
 /// use fulmarproxy::{platform::headers, transport::h1::head};
--- a/tests/release_soak.rs
+++ b/tests/release_soak.rs
@@ -406,15 +406,15 @@
     let (taken_up, gone_on) = (count(&seen.taken_up), count(&seen.gone_on));
     let wrong = seen.wrong.lock().unwrap();
     let whole = count(&seen.whole);
-    let story = format!(
+    let summary = format!(
         "seed {seed}: {whole} whole, {begun} of {new} begun, {gone_on} of {taken_up} gone on, {wrong:?}"
     );
-    println!("{story}");
+    println!("{summary}");
     // Half of the share of new streams that begin.
     let are_lost = taken_up >= MIN_TAKEN_UP && 2 * gone_on * new < begun * taken_up;
     match wrong.is_empty() && whole > 0 && !are_lost {
         true => Ok(()),
-        false => Err(story),
+        false => Err(summary),
     }
 }
 
--- a/tests/stream_releases.rs
+++ b/tests/stream_releases.rs
@@ -468,8 +468,8 @@
         let now = &self.servers[server].release;
         if now != began {
             let (at, from, to) = (self.now, &began.software, &now.software);
-            let told = format!("{at} ms: a stream of {from} goes on at {to}, {by}");
-            self.counts.mixed.push(told);
+            let mixed = format!("{at} ms: a stream of {from} is resumed at {to}, {by}");
+            self.counts.mixed.push(mixed);
         }
         self.streams[stream].state = State::Running { gateway, server };
     }
@@ -697,7 +697,7 @@
     if counts.mixed.len() > MAX_MIXED {
         return Err(format!("ORDER: {:?}", counts.mixed));
     }
-    // The share that goes on is under half of the share of new streams that begin.
+    // The platform requires half of the share of new streams that begin.
     let (gone_on, taken_up) = (f64::from(counts.gone_on), f64::from(counts.taken_up));
     let begun = f64::from(counts.begun) / f64::from(counts.new.max(1));
     if counts.taken_up >= MIN_TAKEN_UP && gone_on / taken_up < begun / 2.0 {
