Wait for the record of releases before tests count range calls

Since gateways keep a record of releases, the first call after a server is listed may be that of the record, and the outage ended before the list had failed. Not a fault of the gateway. The tests now wait until the record is written, and then expect the same calls as before.

--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -7,12 +7,12 @@
 
 use fulmarproxy::{
     coordination::draining,
-    gateway::{budget, ledger},
+    gateway::{budget, ledger, releases},
     standin::{
         platform_store,
         scripted_server::{self, Step},
     },
-    state::share_ledger,
+    state::{release, share_ledger},
 };
 use gateway_world::{TestEnv, configuration, read_response, request_text, run_test};
 
@@ -644,9 +644,10 @@
         }
         env.until(|env| env.gw.directory.borrow().servers.len() == 40)
             .await;
+        let before = range_calls_before_outage(&env).await;
         env.store.faults.unavailable.set(true);
         env.store.compact();
-        let had_failed = |env: &TestEnv| env.store.calls.borrow()["/kv-range"] > 2;
+        let had_failed = |env: &TestEnv| env.store.calls.borrow()["/kv-range"] > before + 1;
         env.until(had_failed).await;
         for number in 0..40 {
             env.store.remove(&format!("servers/w-{number}"));
@@ -661,11 +662,20 @@
 
 const EXAMPLE_ENTRY: &str = r#"{"service":"plain","address":"10.0.0.1:1","zone":"a","slots":8,"state":"ready","version":"v1"}"#;
 
+/// Number of range calls once the record of releases needs none, so that further ones in an outage are
+/// those for the list of servers.
+async fn range_calls_before_outage(env: &TestEnv) -> u32 {
+    let example = release::Release::new("plain", "v1");
+    env.until(|env| releases::is_recorded(&env.gw, &example))
+        .await;
+    env.store.calls.borrow()["/kv-range"]
+}
+
 /// Takes the store away, removes an entry meanwhile, and waits until the gateway keeps its server for
 /// a time. Returns the end of the outage.
 async fn expire_in_an_outage(env: &TestEnv, id: &str) -> Duration {
     let range_calls = |env: &TestEnv| env.store.calls.borrow()["/kv-range"];
-    let before = range_calls(env);
+    let before = range_calls_before_outage(env).await;
     env.store.faults.unavailable.set(true);
     // A change ends the watch that waits, and the next one fails.
     env.store.put("servers/w-0", EXAMPLE_ENTRY);
