--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -16,6 +16,7 @@
 mod fleet;
 mod http;
 mod json;
+mod lost_answers;
 mod record;
 mod rejection_twice;
 mod store;
@@ -131,6 +132,7 @@
     });
     setup.publish(1, 1_000_000_000);
     let held = match case.as_str() {
+        "lost-answers" => lost_answers::play(&setup),
         "rejection-twice" => rejection_twice::play(&setup),
         _ => None,
     };
