review: show that streams cut off with a leaving server end as complete

Cause: whether a response without a length is complete is decided by a check that counts crashes of ready servers only.

--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -20,6 +20,7 @@
 mod record;
 mod rejection_twice;
 mod store;
+mod taken_away;
 mod worker;
 
 /// Longest time that a case takes; the bound is 120 seconds.
@@ -113,6 +114,12 @@
 
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().collect();
+    if let [_, role, id, log] = &args[..]
+        && role == "stream-worker"
+    {
+        taken_away::run_worker(id, log);
+        return ExitCode::SUCCESS;
+    }
     let (Some(case), Some(path)) = (args.get(1), args.get(2)) else {
         eprintln!("usage: harness CASE RECORD");
         return ExitCode::from(2);
@@ -134,6 +141,7 @@
     let held = match case.as_str() {
         "lost-answers" => lost_answers::play(&setup),
         "rejection-twice" => rejection_twice::play(&setup),
+        "taken-away" => taken_away::play(&setup),
         _ => None,
     };
     match held {
