--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -19,6 +19,7 @@
 mod lost_answers;
 mod record;
 mod rejection_twice;
+mod releases;
 mod silent_store;
 mod store;
 mod taken_away;
@@ -142,6 +143,7 @@
     let held = match case.as_str() {
         "lost-answers" => lost_answers::play(&setup),
         "rejection-twice" => rejection_twice::play(&setup),
+        "releases" => releases::play(&setup),
         "silent-store" => silent_store::play(&setup),
         "taken-away" => taken_away::play(&setup),
         _ => None,
