--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -17,6 +17,7 @@
 mod http;
 mod json;
 mod lost_answers;
+mod poison;
 mod record;
 mod rejection_twice;
 mod releases;
@@ -142,6 +143,7 @@
     setup.publish(1, 1_000_000_000);
     let held = match case.as_str() {
         "lost-answers" => lost_answers::play(&setup),
+        "poison" => poison::play(&setup),
         "rejection-twice" => rejection_twice::play(&setup),
         "releases" => releases::play(&setup),
         "silent-store" => silent_store::play(&setup),
--- a/review/harness/store.rs
+++ b/review/harness/store.rs
@@ -20,6 +20,7 @@
 /// Time after which the store answers.
 const ANSWER_TIME: Duration = Duration::from_millis(4);
 
+#[derive(Clone)]
 struct Entry {
     value: String,
     revision: u64,
@@ -45,6 +46,10 @@
     leases: BTreeMap<u64, Lease>,
     revision: u64,
     next_lease: u64,
+    /// How old stale reads are.
+    staleness: Duration,
+    /// Former states of the keys, each with the time at which it ended, for stale reads.
+    former: Vec<(Instant, BTreeMap<String, Entry>)>,
 }
 
 /// The store.
@@ -68,6 +73,21 @@
 }
 
 impl State {
+    /// Begins a change of the keys.
+    fn begin_change(&mut self) {
+        if !self.staleness.is_zero() {
+            self.former.push((Instant::now(), self.entries.clone()));
+        }
+        self.revision += 1;
+    }
+
+    /// The keys as a read sees them.
+    fn seen(&self, is_stale: bool) -> &BTreeMap<String, Entry> {
+        let is_newer = |(ended, _): &&(Instant, _)| is_stale && ended.elapsed() < self.staleness;
+        let former = self.former.iter().find(is_newer);
+        former.map_or(&self.entries, |(_, entries)| entries)
+    }
+
     fn put(&mut self, key: &str, value: String, lease: u64) {
         let revision = self.revision;
         let created_at = self.entries.get(key).map_or(revision, |it| it.created_at);
@@ -119,7 +139,7 @@
             .map(|(key, _)| key.clone())
             .collect();
         if !keys.is_empty() {
-            self.revision += 1;
+            self.begin_change();
         }
         for key in keys {
             self.remove(&key);
@@ -160,7 +180,7 @@
         if keys.any(|key| key.starts_with("op/") || key.starts_with("servers/")) {
             return (403, "{}".to_owned());
         }
-        self.revision += 1;
+        self.begin_change();
         for put in puts {
             self.put(
                 put.get("key").text(),
@@ -174,8 +194,8 @@
         (200, format!("{{\"revision\":{}}}", self.revision))
     }
 
-    fn range(&self, prefix: &str, after: &str) -> String {
-        let found = self.entries.iter();
+    fn range(&self, prefix: &str, after: &str, is_stale: bool) -> String {
+        let found = self.seen(is_stale).iter();
         let found = found.filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after);
         let mut items: Vec<String> = found.map(|(key, entry)| item(key, entry)).collect();
         let has_more = items.len() > 500;
@@ -242,15 +262,20 @@
     /// Writes a key as the operator or a worker does.
     pub fn put(&self, key: &str, value: &str) {
         let mut state = self.shared.0.lock().unwrap();
-        state.revision += 1;
+        state.begin_change();
         state.put(key, json::base64(value.as_bytes()), 0);
         self.shared.1.notify_all();
     }
 
+    /// Has stale reads see the keys as they were some time before.
+    pub fn set_staleness(&self, staleness: Duration) {
+        self.shared.0.lock().unwrap().staleness = staleness;
+    }
+
     /// Removes a key as a worker's end does.
     pub fn remove(&self, key: &str) {
         let mut state = self.shared.0.lock().unwrap();
-        state.revision += 1;
+        state.begin_change();
         state.remove(key);
         self.shared.1.notify_all();
     }
@@ -304,7 +329,10 @@
             }
             ("GET", "/kv-range") => {
                 let (prefix, after) = (parameter(target, "path_prefix"), parameter(target, "after"));
-                (200, state.range(&prefix, &after))
+                (
+                    200,
+                    state.range(&prefix, &after, parameter(target, "stale_ok") == "1"),
+                )
             }
             ("POST", "/kv-txn") => state.write(&body),
             ("POST", "/kv-lease") => {
--- a/review/harness/worker.rs
+++ b/review/harness/worker.rs
@@ -8,6 +8,7 @@
         atomic::{AtomicBool, Ordering},
     },
     thread,
+    time::Duration,
 };
 
 use crate::{
@@ -120,6 +121,16 @@
         self.list("draining");
     }
 
+    /// Ends the process of the worker; its entry stays.
+    pub fn crash(&self) {
+        self.is_stopped.store(true, Ordering::SeqCst);
+        let _ = TcpStream::connect(self.address);
+        thread::sleep(Duration::from_millis(5));
+        for conn in self.conns.lock().unwrap().drain(..) {
+            let _ = conn.shutdown(Shutdown::Both);
+        }
+    }
+
     /// Ends the worker: it closes its listener and its connections, and its entry is removed.
     pub fn stop(&self) {
         self.is_stopped.store(true, Ordering::SeqCst);
