review: set the descriptor limits that the scripts need

Cause: clients and workers of a script need more descriptors than some shells allow by default.

Change: the scripts raise the limit, the gateways have that of their settings.

--- a/review/harness/fleet.rs
+++ b/review/harness/fleet.rs
@@ -132,7 +132,10 @@
     fs::write(&file, settings(node, ports, store)).ok()?;
     let log = fs::File::create(folder.join(format!("{node}.log"))).ok()?;
     let child = Command::new("bash")
-        .args(["-c", "ulimit -n 4100 && exec target/release/fulmard gateway"])
+        .args([
+            "-c",
+            "ulimit -n 4100 || ulimit -n \"$(ulimit -Hn)\"; exec target/release/fulmard gateway",
+        ])
         .env("FULMARPROXY_BOOT", &file)
         .stdin(Stdio::null())
         .stdout(log.try_clone().ok()?)
