gateway: note which requests a connection carried, and log what shows that a rejection is the request's own

Change: idle connections to servers keep a history of their requests, in a pool apart from the one for other gateways. The line of a rejected attempt tells whether the rejection names the request, how many answers were discarded before it and how many requests the connection had carried; a counter does the same for all. Requests that were sent have a quota of log lines of their own. No decision changes.

--- a/src/coordination.rs
+++ b/src/coordination.rs
@@ -40,6 +40,7 @@
 pub mod retry_window;
 pub mod roster;
 pub mod router_count;
+pub mod send_history;
 pub mod server_limits;
 pub mod share;
 pub mod slots;
--- a/src/coordination/log_sampling.rs
+++ b/src/coordination/log_sampling.rs
@@ -12,8 +12,9 @@
 /// up to 100 requests a second, which gives about 30 log lines a second.
 const REQUESTS_PER_SAMPLE: u64 = 16;
 
-/// Maximum number of refused or failed requests that are logged per second. At about three lines
-/// each they take at least seven seconds to fill the queue of the log writer.
+/// Maximum number of refused or failed requests that are logged per second and quota. At one line for
+/// each that was not sent and three for each that was, they take at least five seconds to fill the
+/// queue of the log writer.
 const MAX_FAILURES_PER_SECOND: u32 = 200;
 
 const SECOND: Duration = Duration::from_secs(1);
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -3,7 +3,7 @@
 //! The platform's store holds the configuration, the list of backend servers and the ledgers of
 //! budgets. The main modules, each of which uses only those listed after it, are [`front`],
 //! [`request`], [`admission`], [`forwarding`], [`request_log`], [`relay`], [`choosing`],
-//! [`server_limits`], [`crash_reports`], [`exchange`], [`meter`], [`replenishing`], [`budget`],
+//! [`server_limits`], [`crash_reports`], [`exchange`], [`connections`], [`meter`], [`replenishing`], [`budget`],
 //! [`ledger`], [`config_sync`], [`directory`], [`releases`], [`stream_origins`], [`peer_rpc`],
 //! [`permit_issuing`], [`fleet`] and [`core`].
 
@@ -18,6 +18,7 @@
 pub mod budget;
 pub mod choosing;
 pub mod config_sync;
+pub mod connections;
 pub mod core;
 pub mod crash_notes;
 pub mod crash_reports;
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -15,8 +15,8 @@
 use crate::{
     coordination::{
         announcements, draining, ejection, ended_servers, expired_entries, log_sampling,
-        permit_issuer, permits, placement, presence, retry_window, router_count, server_limits,
-        share, store_route, waiting,
+        permit_issuer, permits, placement, presence, retry_window, router_count, send_history,
+        server_limits, share, store_route, waiting,
     },
     gateway::{crash_notes, era_notes, releases, stream_origins},
     platform,
@@ -110,8 +110,10 @@
     pub retry_windows: RefCell<retry_window::RetryWindows>,
     /// This router's share of each budget, by workspace.
     pub shares: RefCell<HashMap<name::Name, share::Share>>,
-    /// Idle connections to backend servers and other routers.
-    pub connection_pool: RefCell<connection_pool::ConnectionPool>,
+    /// Idle connections to backend servers, with the requests that each has carried.
+    pub server_pool: RefCell<connection_pool::ConnectionPool<send_history::SendHistory>>,
+    /// Idle connections to other routers.
+    pub peer_pool: RefCell<connection_pool::ConnectionPool>,
     /// Fleet listener addresses of the other routers, by `vm/incarnation`.
     pub peers: RefCell<HashMap<String, SocketAddr>>,
     /// Bytes of responses that are held until they are complete.
@@ -145,8 +147,10 @@
     pub exhausted_budgets: RefCell<HashMap<name::Name, share::Exhausted>>,
     /// Routers that did not answer, and the time until which they are not called.
     pub unresponsive_peers: RefCell<HashMap<SocketAddr, Duration>>,
-    /// Limits the log lines about refused and failed requests.
+    /// Limits the log lines about refused and failed requests that were not sent to a server.
     pub failure_log_quota: RefCell<log_sampling::FailureQuota>,
+    /// Limits those about requests that were sent, which a rush of refusals must not hide.
+    pub sent_log_quota: RefCell<log_sampling::FailureQuota>,
     /// Time at which the store last confirmed that the configuration is current.
     pub config_confirmed_at: Cell<Duration>,
     /// Time at which the store last confirmed that the server list is current.
@@ -191,7 +195,8 @@
             crash_notes: crash_notes::CrashNotes::default(),
             retry_windows: RefCell::default(),
             shares: RefCell::default(),
-            connection_pool: RefCell::default(),
+            server_pool: RefCell::default(),
+            peer_pool: RefCell::default(),
             peers: RefCell::default(),
             buffered_bytes: Cell::new(0),
             in_flight: Cell::new(0),
@@ -207,6 +212,7 @@
             exhausted_budgets: RefCell::default(),
             unresponsive_peers: RefCell::default(),
             failure_log_quota: RefCell::default(),
+            sent_log_quota: RefCell::default(),
             config_confirmed_at: Cell::default(),
             servers_confirmed_at: Cell::default(),
             router_count: Cell::default(),
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -2,28 +2,18 @@
 
 use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
 
+use derive_more::Display;
 use futures::future;
 use metrics::counter;
 
 use crate::{
     coordination::{announcements, placement, suspect_keys, suspects},
-    gateway::core,
+    gateway::{connections, core},
     platform::headers,
     state::{deployment, name, server},
-    transport::h1::{body, conn, dial, fault, head},
+    transport::h1::{body, conn, fault, head},
 };
 
-/// Time limit for connecting to a server. A round trip takes a few milliseconds, and a lost SYN
-/// packet is retransmitted only after seconds, so another attempt is faster than waiting for it.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
-
-/// Time for which an idle connection is kept open when the server sends no `Keep-Alive` timeout.
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
-
-/// Fraction of the server's idle timeout for which a connection is reused, so that the server
-/// doesn't close it just as a request is sent.
-const IDLE_TIMEOUT_FRACTION: f64 = 0.7;
-
 /// Maximum size of the body of a response to another request, which is read and discarded, in bytes.
 const MAX_FOREIGN_BODY_BYTES: usize = 1 << 20;
 
@@ -56,13 +46,27 @@
     /// Reader of the body.
     pub body: body::Body,
     /// Connection from which the body is read.
-    pub conn: conn::Conn,
+    conn: connections::ServerConn,
+    /// What shows that the response is the one to this request.
+    pub evidence: Evidence,
     /// Whether the connection may be reused once the body has been read.
     reusable: bool,
     /// Counts the request as running at the server until the response is dropped.
     running: RunningGuard,
 }
 
+/// What shows to which request a response belongs.
+#[derive(Clone, Copy, Debug, Display)]
+#[display("{id} id, {discarded} discarded before it, {earlier} requests earlier on its connection")]
+pub struct Evidence {
+    /// Whether it names the request: `own`, or `none` when it names no request.
+    id: &'static str,
+    /// Responses to other requests that came before it.
+    discarded: u32,
+    /// Requests that the connection had carried.
+    earlier: u32,
+}
+
 /// Why an attempt yielded no response that could be relayed.
 pub enum AttemptError {
     /// The request did not run because no connection could be opened.
@@ -124,7 +128,10 @@
 ) -> Result<Response, AttemptError> {
     let server = &placed.server;
     let running = RunningGuard::new(gw, placed);
-    let (mut conn, is_new) = checkout(gw, server).await?;
+    let mut conn = connections::checkout(gw, server).await.map_err(|err| {
+        counter!("fulmar_gateway_attempt_failures_total", "reason" => "no_connection").increment(1);
+        AttemptError::NotRun(format!("no connection: {err}"))
+    })?;
     if !gw.announcements.borrow().admits(server, gw.now()) {
         // Another response said so while this request waited for its connection.
         counter!("fulmar_gateway_attempt_failures_total", "reason" => "closed_meanwhile")
@@ -144,17 +151,32 @@
         req,
         &headers::forwarded_request_headers(&req.head.headers, &context),
     );
-    let (sent_whole, received_head) = send_and_read(&mut conn, &bytes, &req.id).await;
-    let head = received_head.map_err(|err| {
+    let earlier = conn.history.sends();
+    conn.history.record_send(&req.id);
+    let (sent_whole, received_head) = send_and_read(&mut conn.conn, &bytes, &req.id).await;
+    let (head, discarded) = received_head.map_err(|err| {
         counter!("fulmar_gateway_attempt_failures_total", "reason" => failure_reason(&err))
             .increment(1);
-        let cause = format!("{err} on a {} connection", connection_kind(is_new));
+        let cause = format!("{err} on a connection with {earlier} earlier requests");
         match err.is_ended_by_peer() {
             true => AttemptError::Disconnected(cause),
             false => AttemptError::MayHaveRun(cause),
         }
     })?;
     record_announcement(gw, server, &head);
+    let evidence = Evidence {
+        id: match head.headers.text(headers::REQUEST_ID) {
+            Some(_) => "own",
+            None => "none",
+        },
+        discarded,
+        earlier,
+    };
+    if headers::was_not_executed(&head) {
+        let connection = if earlier == 0 { "new" } else { "kept" };
+        counter!("fulmar_gateway_rejections_total", "id" => evidence.id, "connection" => connection)
+            .increment(1);
+    }
     let framing = body::response_framing(&head, &req.head.method)
         .map_err(|err| AttemptError::MayHaveRun(err.to_string()))?;
     let reusable = sent_whole && head.keeps_alive() && framing != body::Framing::Close;
@@ -164,6 +186,7 @@
         framing,
         body: body::Body::new(framing),
         conn,
+        evidence,
         reusable,
         running,
     })
@@ -183,7 +206,7 @@
     let news = gw.announcements.borrow_mut().record(server, said, gw.now());
     if news.is_leaving {
         // Kept connections to a leaving server are of no further use.
-        gw.connection_pool.borrow_mut().close_all(server.address);
+        gw.server_pool.borrow_mut().close_all(server.address);
         counter!("fulmar_gateway_announcements_total", "kind" => "leaving").increment(1);
         tracing::info!(server = %server.id, "directory: backend server says that it is leaving");
     }
@@ -229,41 +252,6 @@
     }
 }
 
-fn connection_kind(is_new: bool) -> &'static str {
-    match is_new {
-        true => "new",
-        false => "kept",
-    }
-}
-
-/// Takes an idle connection to a server from the pool or opens one; the flag tells whether it is
-/// new.
-async fn checkout(
-    gw: &core::Gateway,
-    server: &server::Server,
-) -> Result<(conn::Conn, bool), AttemptError> {
-    let now = gw.now();
-    if let Some(conn) = gw.connection_pool.borrow_mut().take(server.address, now) {
-        return Ok((conn, false));
-    }
-    counter!("fulmar_gateway_connections_total").increment(1);
-    match dial::connect(server.address, CONNECT_TIMEOUT, &gw.timers).await {
-        Ok(conn) => Ok((conn, true)),
-        Err(err) => {
-            counter!("fulmar_gateway_attempt_failures_total", "reason" => "no_connection")
-                .increment(1);
-            Err(AttemptError::NotRun(format!("no connection: {err}")))
-        }
-    }
-}
-
-/// Keeps an open connection to a server for another request.
-pub fn keep_connection(gw: &core::Gateway, server: &server::Server, conn: conn::Conn) {
-    let until = gw.now() + DEFAULT_IDLE_TIMEOUT.mul_f64(IDLE_TIMEOUT_FRACTION);
-    let mut pool = gw.connection_pool.borrow_mut();
-    pool.put(server.address, conn, until);
-}
-
 fn request_bytes(req: &OutgoingRequest, headers: &head::Headers) -> Vec<u8> {
     let mut bytes = Vec::with_capacity(1024 + req.body.len());
     bytes.extend_from_slice(req.head.method.as_bytes());
@@ -290,12 +278,13 @@
 }
 
 /// Sends a request and reads the head of the response at the same time, since a server may respond
-/// before it has read a long body. Returns whether the whole request was sent, and the head.
+/// before it has read a long body. Returns whether the whole request was sent, and the head as
+/// [`read_own_response`] does.
 async fn send_and_read(
     conn: &mut conn::Conn,
     bytes: &[u8],
     id: &str,
-) -> (bool, Result<head::ResponseHead, fault::Fault>) {
+) -> (bool, Result<(head::ResponseHead, u32), fault::Fault>) {
     let mut writer = conn::Conn::new(conn.socket());
     let sending = std::pin::pin!(writer.write(bytes));
     let reading = std::pin::pin!(read_own_response(conn, id));
@@ -308,11 +297,13 @@
 }
 
 /// Reads response heads until one carries the id of this request or none at all. Responses with
-/// another id are late ones to earlier requests on the connection; they are discarded.
+/// another id are late ones to earlier requests on the connection; they are discarded, and their
+/// number is returned.
 async fn read_own_response(
     conn: &mut conn::Conn,
     id: &str,
-) -> Result<head::ResponseHead, fault::Fault> {
+) -> Result<(head::ResponseHead, u32), fault::Fault> {
+    let mut discarded = 0;
     loop {
         let head = head::read_response(conn).await?;
         match head.headers.text(headers::REQUEST_ID) {
@@ -327,8 +318,9 @@
                 body::Body::new(framing)
                     .read_all(conn, MAX_FOREIGN_BODY_BYTES)
                     .await?;
+                discarded += 1;
             }
-            _ => return Ok(head),
+            _ => return Ok((head, discarded)),
         }
     }
 }
@@ -340,7 +332,7 @@
     ///
     /// [`fault::Fault`] when the connection ends before the body does.
     pub async fn next(&mut self) -> Result<Option<Vec<u8>>, fault::Fault> {
-        let piece = self.body.next(&mut self.conn).await;
+        let piece = self.body.next(&mut self.conn.conn).await;
         self.running.record_read();
         piece
     }
@@ -349,13 +341,10 @@
     /// been read.
     pub fn recycle(self, gw: &core::Gateway) {
         let is_leaving = gw.announcements.borrow().is_leaving(&self.server, gw.now());
-        if !self.reusable || is_leaving || !self.conn.unread().is_empty() {
+        if !self.reusable || is_leaving || !self.conn.conn.unread().is_empty() {
             return;
         }
-        let idle = headers::keep_alive_timeout(&self.head).unwrap_or(DEFAULT_IDLE_TIMEOUT);
-        let until = gw.now() + idle.mul_f64(IDLE_TIMEOUT_FRACTION);
-        gw.connection_pool
-            .borrow_mut()
-            .put(self.server.address, self.conn, until);
+        let idle = headers::keep_alive_timeout(&self.head);
+        connections::keep(gw, &self.server, self.conn, idle);
     }
 }
--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -94,6 +94,7 @@
             .borrow_mut()
             .begin_trial(&req.outgoing.keys, gw.now());
         attempts.record_send(&server.id);
+        log.record_send();
         if log.is_sampled() {
             let running = gw.placement.borrow().running(&server.id);
             let (id, left) = (&log.id, req.time_left(gw.now()).as_millis() as u64);
@@ -302,12 +303,14 @@
     histogram!("fulmar_gateway_first_byte_seconds").record(waited.as_secs_f64());
     let status = response.head.status;
     if not_run {
+        let evidence = response.evidence;
         let reading = relay::read_body(gw, &mut response);
         let drained = gw.timers.within(DRAIN_TIMEOUT, reading).await;
         if let Some(Ok(_)) = drained {
             response.recycle(gw);
         }
-        return AttemptOutcome::NotRun(format!("the server turned it away with status {status}"));
+        let cause = format!("the server turned it away with status {status} ({evidence})");
+        return AttemptOutcome::NotRun(cause);
     }
     if !headers::is_signed(&response.head) {
         return AttemptOutcome::Failed(format!("an unsigned answer with status {status}"));
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -15,6 +15,7 @@
     /// Id of the request.
     pub id: String,
     is_sampled: bool,
+    was_sent: Cell<bool>,
     may_log_failure: Cell<Option<bool>>,
 }
 
@@ -25,6 +26,7 @@
             gw: gw.clone(),
             is_sampled: log_sampling::is_sampled(&id),
             id,
+            was_sent: Cell::new(false),
             may_log_failure: Cell::new(None),
         }
     }
@@ -34,6 +36,11 @@
         self.is_sampled
     }
 
+    /// Records that the request is sent to a backend server.
+    pub fn record_send(&self) {
+        self.was_sent.set(true);
+    }
+
     /// Whether refusals and failures of this request are logged. The first call takes one from the
     /// quota, unless the request is sampled, and decides for the whole request.
     pub fn may_log_failure(&self) -> bool {
@@ -41,8 +48,11 @@
             return true;
         }
         let allowed = self.may_log_failure.get().unwrap_or_else(|| {
-            let mut quota = self.gw.failure_log_quota.borrow_mut();
-            quota.take(self.gw.now())
+            let quota = match self.was_sent.get() {
+                true => &self.gw.sent_log_quota,
+                false => &self.gw.failure_log_quota,
+            };
+            quota.borrow_mut().take(self.gw.now())
         });
         self.may_log_failure.set(Some(allowed));
         allowed
@@ -57,7 +67,8 @@
         let mut dropped = 0;
         loop {
             counting.timers.sleep(REPORT_INTERVAL).await;
-            let left_out = counting.failure_log_quota.borrow_mut().left_out();
+            let unsent = counting.failure_log_quota.borrow_mut().left_out();
+            let left_out = unsent + counting.sent_log_quota.borrow_mut().left_out();
             let now_dropped = logging::dropped_lines();
             let lines = now_dropped - dropped;
             dropped = now_dropped;
--- a/src/transport/h1/connection_pool.rs
+++ b/src/transport/h1/connection_pool.rs
@@ -11,38 +11,55 @@
 /// Limit on the idle connections kept per address; a burst of more requests opens new ones.
 const MAX_IDLE_PER_ADDRESS: usize = 64;
 
-struct IdleConn {
+struct IdleConn<T> {
     conn: conn::Conn,
+    history: T,
     expires_at: Duration,
 }
 
-/// Idle connections by the address of the peer.
+/// Idle connections by the address of the peer, each with what its user notes of its `T` history.
 #[derive(Default)]
-pub struct ConnectionPool {
-    idle: HashMap<SocketAddr, VecDeque<IdleConn>>,
+pub struct ConnectionPool<T = ()> {
+    idle: HashMap<SocketAddr, VecDeque<IdleConn<T>>>,
 }
 
-impl ConnectionPool {
-    /// Takes the most recently used connection that has not expired and can be reused.
-    pub fn take(&mut self, address: SocketAddr, now: Duration) -> Option<conn::Conn> {
+impl<T> ConnectionPool<T> {
+    /// Takes the most recently used connection that has not expired and can be reused, among those
+    /// whose history `admits` the use. The others stay.
+    pub fn take(
+        &mut self,
+        address: SocketAddr,
+        now: Duration,
+        admits: impl Fn(&T) -> bool,
+    ) -> Option<(conn::Conn, T)> {
         let idle = self.idle.get_mut(&address)?;
-        while let Some(found) = idle.pop_back() {
+        for at in (0..idle.len()).rev() {
+            if !admits(&idle[at].history) {
+                continue;
+            }
+            let found = idle.remove(at)?;
             if found.expires_at > now && found.conn.is_reusable() {
-                return Some(found.conn);
+                return Some((found.conn, found.history));
             }
         }
-        self.idle.remove(&address);
+        if idle.is_empty() {
+            self.idle.remove(&address);
+        }
         None
     }
 
     /// Keeps a connection until `expires_at`; drops the oldest one of the address if there are
     /// too many.
-    pub fn put(&mut self, address: SocketAddr, conn: conn::Conn, expires_at: Duration) {
+    pub fn put(&mut self, address: SocketAddr, conn: conn::Conn, history: T, expires_at: Duration) {
         let idle = self.idle.entry(address).or_default();
         if idle.len() >= MAX_IDLE_PER_ADDRESS {
             idle.pop_front();
         }
-        idle.push_back(IdleConn { conn, expires_at });
+        idle.push_back(IdleConn {
+            conn,
+            history,
+            expires_at,
+        });
     }
 
     /// Closes all idle connections to an address.
--- a/tests/logs.rs
+++ b/tests/logs.rs
@@ -174,6 +174,27 @@
     });
 }
 
+/// Guards against a rush of refusals that hides what happened to requests that were sent.
+#[test]
+fn a_request_that_was_turned_away_is_logged_during_a_rush_of_refusals() {
+    run_test(&configuration(1, 100_000, 5000), async |env| {
+        let later = env.gw.now() + Duration::from_secs(1000);
+        while env.gw.failure_log_quota.borrow_mut().take(later) {}
+        env.start_server("model", |_| scripted_server::not_run_response())
+            .await;
+        let (captured, _guard) = CapturedLog::capture();
+        let unsampled = request_id(false);
+        assert_eq!(send_as(env.front_address, &unsampled, KEY).await, 503);
+        let lines = captured.lines_with(&unsampled);
+        let part = "none id, 0 discarded before it, 0 requests earlier on its connection";
+        let line = lines.iter().find(|line| line.contains(part));
+        assert!(
+            line.is_some_and(|it| it.contains("not_run=true")),
+            "{lines:?}"
+        );
+    });
+}
+
 #[test]
 fn no_line_contains_a_key_or_a_body() {
     run_test(&configuration(1, 1000, 5000), async |env| {
