--- a/src/standin/scripted_server.rs
+++ b/src/standin/scripted_server.rs
@@ -29,6 +29,8 @@
 /// A request that the server received.
 #[derive(Clone, Debug)]
 pub struct ReceivedRequest {
+    /// Number of the connection that brought it.
+    pub connection: u32,
     /// Request line and headers.
     pub head: head::RequestHead,
     /// Body.
@@ -45,6 +47,8 @@
     pub received: RefCell<Vec<ReceivedRequest>>,
     /// Number of connections that the client closed before the response was complete.
     pub disconnects: Cell<u32>,
+    /// Number of connections accepted.
+    connections: Cell<u32>,
 }
 
 impl ScriptedServer {
@@ -54,6 +58,7 @@
             script,
             received: RefCell::default(),
             disconnects: Cell::new(0),
+            connections: Cell::new(0),
         })
     }
 
@@ -65,16 +70,22 @@
     ) {
         while let Ok((stream, _)) = listener.accept().await {
             let server = self.clone();
+            let number = self.connections.get() + 1;
+            self.connections.set(number);
             let serving = async move {
                 let mut conn = conn::Conn::new(stream);
-                while let Ok(true) = server.serve_request(&mut conn).await {}
+                while let Ok(true) = server.serve_request(&mut conn, number).await {}
             };
             executor.spawn(serving).detach();
         }
     }
 
     /// Serves one request; returns whether the connection stays open.
-    async fn serve_request(&self, conn: &mut conn::Conn) -> Result<bool, fault::Fault> {
+    async fn serve_request(
+        &self,
+        conn: &mut conn::Conn,
+        connection: u32,
+    ) -> Result<bool, fault::Fault> {
         let Some(head) = head::read_request(conn, MAX_REQUEST_BYTES).await? else {
             return Ok(false);
         };
@@ -82,7 +93,11 @@
         let body = body::Body::new(framing)
             .read_all(conn, MAX_REQUEST_BYTES)
             .await?;
-        let request = ReceivedRequest { head, body };
+        let request = ReceivedRequest {
+            connection,
+            head,
+            body,
+        };
         let steps = (self.script)(&request);
         self.received.borrow_mut().push(request);
         let closed = conn::wait_for_close(conn.socket());
