gateway: send a request once at most on a connection

What callers saw: REFUSED and TWICE. A booking or a stream that may run once was answered 503 and ran, or ran twice.

Cause: a request that was turned away may be sent to the same server again, on the connection that brought the rejection. When the server sends the rejection a second time, the copy bears the request's id and is taken for the answer to the new send: 'not run' is believed of a request that runs.

Change: a connection to a server knows the ids of the requests that it has carried and carries none of them again; the pool hands out another connection, or a new one is opened. So an answer that names a request is the answer to its only send on that connection, whenever it comes.

A connection is opened in addition only for a request that returns to a server whose only idle connection it has used.

--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -38,17 +38,22 @@
     }
 }
 
-/// Takes an idle connection to a server from the pool or opens one.
+/// Takes an idle connection to a server that may carry a request with this id, or opens one.
 ///
 /// # Errors
 ///
 /// The error of opening one.
-pub async fn checkout(gw: &core::Gateway, server: &server::Server) -> std::io::Result<ServerConn> {
+pub async fn checkout(
+    gw: &core::Gateway,
+    server: &server::Server,
+    id: &str,
+) -> std::io::Result<ServerConn> {
     let now = gw.now();
+    let admits = |history: &send_history::SendHistory| history.admits(id);
     let idle = gw
         .server_pool
         .borrow_mut()
-        .take(server.address, now, |_| true);
+        .take(server.address, now, admits);
     if let Some((conn, history)) = idle {
         return Ok(ServerConn { conn, history });
     }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -64,7 +64,7 @@
     /// Responses to other requests that came before it.
     discarded: u32,
     /// Requests that the connection had carried.
-    earlier: u32,
+    earlier: usize,
 }
 
 /// Why an attempt yielded no response that could be relayed.
@@ -128,10 +128,13 @@
 ) -> Result<Response, AttemptError> {
     let server = &placed.server;
     let running = RunningGuard::new(gw, placed);
-    let mut conn = connections::checkout(gw, server).await.map_err(|err| {
-        counter!("fulmar_gateway_attempt_failures_total", "reason" => "no_connection").increment(1);
-        AttemptError::NotRun(format!("no connection: {err}"))
-    })?;
+    let mut conn = connections::checkout(gw, server, &req.id)
+        .await
+        .map_err(|err| {
+            counter!("fulmar_gateway_attempt_failures_total", "reason" => "no_connection")
+                .increment(1);
+            AttemptError::NotRun(format!("no connection: {err}"))
+        })?;
     if !gw.announcements.borrow().admits(server, gw.now()) {
         // Another response said so while this request waited for its connection.
         counter!("fulmar_gateway_attempt_failures_total", "reason" => "closed_meanwhile")
--- a/tests/doubled_answers.rs
+++ b/tests/doubled_answers.rs
@@ -102,7 +102,6 @@
 
 /// Guards against requests that run though their callers were told that they had not (REFUSED).
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn a_second_copy_of_a_rejection_refuses_no_request_that_runs() {
     for (service, path) in [("plain", "/book/1"), ("model", "/draft/1")] {
         run_test(&configuration(1, AMPLE_BUDGET, TIMEOUT_MS), async |env| {
@@ -127,7 +126,6 @@
 
 /// Guards against a second run of a request that may run once only (TWICE).
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn a_second_copy_of_a_rejection_makes_no_request_run_twice() {
     for (service, path) in [("plain", "/book/1"), ("model", "/draft/1")] {
         run_test(&configuration(1, AMPLE_BUDGET, TIMEOUT_MS), async |env| {
