gateway: believe no answer without an id on a connection that carried earlier requests

What callers saw: TWICE. A booking that may run once ran twice, after another request on the same connection had been answered without an id.

Cause: an answer that names no request was taken for the answer to the newest one. A server answers a request without an id without one, too; when it sends that rejection twice, the copy meets the next request on the kept connection, and 'not run' is believed of a request that runs.

Change: an answer without an id belongs to a request only if its connection has carried no other; elsewhere the attempt fails as one that may have run.

In one of the tests that failed, the expected status of a request that is turned away without an id was 503; on a connection with earlier requests it is 502 now, as that rejection proves nothing. The test checks instead that such a request has not run, and that the next one runs once and is served, as before.

Result: both tests failed before, bookings ran twice; they pass.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -7,7 +7,7 @@
 use metrics::counter;
 
 use crate::{
-    coordination::{announcements, placement, suspect_keys, suspects},
+    coordination::{announcements, placement, send_history, suspect_keys, suspects},
     gateway::{connections, core},
     platform::headers,
     state::{deployment, name, server},
@@ -156,7 +156,7 @@
     );
     let earlier = conn.history.sends();
     conn.history.record_send(&req.id);
-    let (sent_whole, received_head) = send_and_read(&mut conn.conn, &bytes, &req.id).await;
+    let (sent_whole, received_head) = send_and_read(&mut conn, &bytes, &req.id).await;
     let (head, discarded) = received_head.map_err(|err| {
         counter!("fulmar_gateway_attempt_failures_total", "reason" => failure_reason(&err))
             .increment(1);
@@ -167,11 +167,9 @@
         }
     })?;
     record_announcement(gw, server, &head);
+    let is_named = head.headers.text(headers::REQUEST_ID).is_some();
     let evidence = Evidence {
-        id: match head.headers.text(headers::REQUEST_ID) {
-            Some(_) => "own",
-            None => "none",
-        },
+        id: if is_named { "own" } else { "none" },
         discarded,
         earlier,
     };
@@ -182,7 +180,8 @@
     }
     let framing = body::response_framing(&head, &req.head.method)
         .map_err(|err| AttemptError::MayHaveRun(err.to_string()))?;
-    let reusable = sent_whole && head.keeps_alive() && framing != body::Framing::Close;
+    // A second copy of a response that names no request would meet the next one.
+    let reusable = sent_whole && is_named && head.keeps_alive() && framing != body::Framing::Close;
     Ok(Response {
         server: server.clone(),
         head,
@@ -284,11 +283,11 @@
 /// before it has read a long body. Returns whether the whole request was sent, and the head as
 /// [`read_own_response`] does.
 async fn send_and_read(
-    conn: &mut conn::Conn,
+    conn: &mut connections::ServerConn,
     bytes: &[u8],
     id: &str,
 ) -> (bool, Result<(head::ResponseHead, u32), fault::Fault>) {
-    let mut writer = conn::Conn::new(conn.socket());
+    let mut writer = conn::Conn::new(conn.conn.socket());
     let sending = std::pin::pin!(writer.write(bytes));
     let reading = std::pin::pin!(read_own_response(conn, id));
     match future::select(sending, reading).await {
@@ -299,18 +298,21 @@
     }
 }
 
-/// Reads response heads until one carries the id of this request or none at all. Responses with
-/// another id are late ones to earlier requests on the connection; they are discarded, and their
-/// number is returned.
+/// Reads response heads up to that of the response to this request, the newest on its connection. Late
+/// ones to other requests are discarded, and their number is returned. A response that may be a late one
+/// is a fault.
 async fn read_own_response(
-    conn: &mut conn::Conn,
+    conn: &mut connections::ServerConn,
     id: &str,
 ) -> Result<(head::ResponseHead, u32), fault::Fault> {
+    let connections::ServerConn { conn, history } = conn;
     let mut discarded = 0;
     loop {
         let head = head::read_response(conn).await?;
-        match head.headers.text(headers::REQUEST_ID) {
-            Some(found) if found != id => {
+        let found = head.headers.text(headers::REQUEST_ID);
+        match history.owner(id, found) {
+            send_history::Owner::Newest => return Ok((head, discarded)),
+            send_history::Owner::Other => {
                 counter!("fulmar_gateway_foreign_answers_total").increment(1);
                 tracing::warn!(
                     id,
@@ -323,7 +325,12 @@
                     .await?;
                 discarded += 1;
             }
-            _ => return Ok((head, discarded)),
+            send_history::Owner::Uncertain => {
+                counter!("fulmar_gateway_unnamed_answers_total").increment(1);
+                let earlier = history.sends();
+                tracing::warn!(id, earlier, "exchange: a response names no request");
+                return Err(fault::Fault::Malformed("answer: it names no request"));
+            }
         }
     }
 }
