gateway: pass no server's failure on whose status promises 'not run' without a statement of it

What callers saw: a booking that its server had run and failed with a signed 503, 429 or 408 was answered so, and callers may ask again after these.

Only X-Not-Executed and status 421 state it; any other failure of a server may follow a run.

Change: for requests that may run once only, such a failure is a failed attempt, answered 502.

Result: the test failed before, 408 was passed on for /book/1; it passes.

--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -315,6 +315,10 @@
     if !headers::is_signed(&response.head) {
         return AttemptOutcome::Failed(format!("an unsigned answer with status {status}"));
     }
+    if headers::promises_not_run(status) && !req.route.kind.is_retryable() {
+        // The caller would take the status for the promise that the server did not give.
+        return AttemptOutcome::Failed(format!("status {status} that does not state 'not run'"));
+    }
     if status == 200 && req.route.kind.is_stream() && relay::is_event_stream(&response.head) {
         return relay_stream(gw, caller, response, stream, close).await;
     }
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -50,10 +50,9 @@
     /// assert!(bytes.starts_with(b"HTTP/1.1 401 "));
     /// ```
     pub fn bytes(&self, id: &str, close: bool) -> Vec<u8> {
-        let run = match self.status {
-            408 | 421 | 429 | 503 | 400..=404 => "not run",
-            _ => "unknown",
-        };
+        let is_not_run =
+            headers::promises_not_run(self.status) || (400..=404).contains(&self.status);
+        let run = if is_not_run { "not run" } else { "unknown" };
         let body = serde_json::json!({"error": {
             "code": self.code as u16,
             "name": self.code.to_string(),
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -175,6 +175,16 @@
     response.status == 421 || response.headers.all(NOT_EXECUTED).next().is_some()
 }
 
+/// Whether a status states that a request did not run and never will.
+///
+/// ```
+/// use fulmarproxy::platform::headers;
+/// assert!(headers::promises_not_run(503) && !headers::promises_not_run(502));
+/// ```
+pub fn promises_not_run(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
 /// Longest time that a backend server can name in `Retry-After`; a longer one is no time.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(3600);
 
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -250,6 +250,26 @@
     });
 }
 
+/// Guards against a status that promises 'not run' for a request that may have run (REFUSED).
+#[test]
+fn a_failure_that_promises_not_run_is_not_passed_on_for_a_request_that_may_have_run() {
+    for status in [408, 429, 503] {
+        run_test(&configuration(1, AMPLE_BUDGET, TIMEOUT_MS), async |env| {
+            let answer =
+                move |request: &_| scripted_server::signed_response(request, status, "no seat");
+            let plain = env.start_server("plain", answer).await;
+            let model = env.start_server("model", answer).await;
+            for path in ["/book/1", "/draft/1"] {
+                let response = env.send("POST", path, "", "a commission").await;
+                assert_eq!(response.status, 502, "{path}");
+                assert!(response.headers.text("X-Response-Signature").is_none());
+            }
+            let sent = [&plain, &model].map(|server| server.received.borrow().len());
+            assert_eq!(sent, [1, 1]);
+        });
+    }
+}
+
 /// Guards against failures of servers that are replaced by one of the router's own.
 #[test]
 fn the_last_failure_of_a_server_is_passed_on_unchanged() {
