tests: gateways out of step, and take-ups that nobody knows, join no streams of two versions

Cause: the reports on streams that go on at another version, after a kill of all gateways and at one gateway that missed a release.

Change: two tests. A gateway that is put back to before the newer servers joined takes streams up, with and without the store and with and without the gateway that began them; one that has just started takes up streams of which no note is left, while both versions serve and after the older one has left.

--- a/tests/gateway_world/mod.rs
+++ b/tests/gateway_world/mod.rs
@@ -153,12 +153,17 @@
     /// Starts a second gateway with the same store and lists the two as each other's peers. Returns
     /// its address for callers.
     pub async fn start_second_gateway(&self) -> SocketAddr {
+        self.start_peer().await.1
+    }
+
+    /// As [`Self::start_second_gateway`]; returns the gateway too.
+    pub async fn start_peer(&self) -> (Rc<core::Gateway>, SocketAddr) {
         let (gw, front, fleet) =
             start_gateway("entry-2", self.store_address, self.executor.clone()).await;
         gw.set_peers([(self.gw.holder(), self.fleet_address)].into());
         self.gw.set_peers([(gw.holder(), fleet)].into());
         self.until(|_| gw.not_ready_reason().is_none()).await;
-        front
+        (gw, front)
     }
 
     /// Waits until a condition holds.
--- a/tests/streams_and_software.rs
+++ b/tests/streams_and_software.rs
@@ -5,7 +5,10 @@
 use std::{net::SocketAddr, time::Duration};
 
 use fulmarproxy::{
+    coordination::releases,
+    gateway::core,
     standin::scripted_server::{self, ReceivedRequest, Step},
+    state::release,
     transport::{
         h1::{conn, dial},
         timers,
@@ -130,3 +133,88 @@
         }
     });
 }
+
+/// Takes a stream up at another gateway; fails if the answer holds events of another software version
+/// than `began`. Returns whether the stream goes on.
+async fn take_up(address: SocketAddr, id: &str, began: &str, case: &str) -> bool {
+    let resumed = format!("Last-Event-Id: 1\r\nResumes: {id}\r\n");
+    let response = send(address, &ask(&format!("again-{id}"), &resumed)).await;
+    let made_by = softwares(&response);
+    assert!(
+        made_by.iter().all(|it| it == began),
+        "{case}: {id} of {began} goes on with {made_by:?}"
+    );
+    assert!(matches!(response.status, 200 | 503), "{case}: {id}");
+    response.status == 200
+}
+
+/// Puts a gateway back to what it knew before the servers of `v2` joined.
+fn forget_v2(gw: &core::Gateway) {
+    let mut directory = gw.directory.borrow_mut();
+    directory.servers.retain(|_, it| &*it.software == "v1");
+    let v1 = release::Release::new("model", "v1");
+    let mut known = releases::Releases::default();
+    known.record_listed([v1.clone()], gw.now());
+    known.record_written(&[v1], gw.store.era());
+    *gw.release_notes.known.borrow_mut() = known;
+}
+
+/// Guards against joining what two software versions write at a gateway that missed the newer one.
+#[test]
+fn a_gateway_out_of_step_joins_no_streams_of_two_software_versions() {
+    for (store_answers, peers_answer) in
+        [(true, true), (true, false), (false, true), (false, false)]
+    {
+        run_test(&configuration(1, AMPLE_BUDGET, TIMEOUT_MS), async |env| {
+            let case = format!("store answers: {store_answers}, peers answer: {peers_answer}");
+            let pause = Step::Wait(Duration::from_secs(60));
+            start_servers(&env, &["v1", "v2"], pause).await;
+            let (late, late_front) = env.start_peer().await;
+            let (mut began_at_v2, mut gone_on) = (0, 0);
+            for number in 0..STREAMS {
+                let id = format!("s{number}");
+                let software = begin(env.front_address, &ask(&id, "")).await;
+                forget_v2(&late);
+                if !peers_answer {
+                    late.set_peers([("gone/1".to_owned(), ([127, 0, 0, 1], 9).into())].into());
+                }
+                env.store.faults.unavailable.set(!store_answers);
+                let goes_on = take_up(late_front, &id, &software, &case).await;
+                env.store.faults.unavailable.set(false);
+                began_at_v2 += u32::from(software == "v2");
+                gone_on += u32::from(goes_on);
+            }
+            assert!((1..STREAMS).contains(&began_at_v2), "{case}");
+            assert!(gone_on > 0 || !peers_answer, "{case}");
+        });
+    }
+}
+
+/// Guards against joining what two software versions write when no gateway is left that knows which of
+/// them began a stream.
+#[test]
+fn streams_that_nobody_knows_are_not_joined_from_two_software_versions() {
+    for old_has_left in [false, true] {
+        run_test(&configuration(1, AMPLE_BUDGET, TIMEOUT_MS), async |env| {
+            let case = format!("servers of the old version have left: {old_has_left}");
+            let pause = Step::Wait(Duration::from_secs(60));
+            start_servers(&env, &["v1", "v2"], pause).await;
+            let mut streams = Vec::new();
+            for number in 0..STREAMS {
+                let id = format!("s{number}");
+                let software = begin(env.front_address, &ask(&id, "")).await;
+                streams.push((id, software));
+            }
+            if old_has_left {
+                env.store.remove("servers/i-1");
+            }
+            let (restarted, front) = env.start_peer().await;
+            restarted.set_peers([].into());
+            let mut refused = 0;
+            for (id, software) in streams {
+                refused += u32::from(!take_up(front, &id, &software, &case).await);
+            }
+            assert!(refused > 0, "{case}");
+        });
+    }
+}
