gateway: extreme times and counts of the configuration end no process

What callers saw: with a route's timeout that is negative or larger than a clock's range, the gateway ended at the first request of the route, and again after each restart.

Cause: such a time was taken for the longest that the type holds, and the sum with the current time overflowed. The class: numbers of other writers are computed with as if they were small. The same sums without a check were the number of sends of a route, the tokens that a server has to read, and the tokens of a stream; these wrap in a release build.

Change: times of the configuration are at most a year; the sums saturate.

--- a/src/coordination/attempts.rs
+++ b/src/coordination/attempts.rs
@@ -75,7 +75,10 @@
         let is_final = may_have_run && !self.limits.is_retryable;
         match not_run {
             _ if is_final => false,
-            true => self.count() < (self.limits.max_runs + MAX_EXTRA_SENDS) as usize,
+            true => {
+                let max_sends = self.limits.max_runs.saturating_add(MAX_EXTRA_SENDS);
+                self.count() < max_sends as usize
+            }
             false => self.runs < max_runs,
         }
     }
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -61,7 +61,7 @@
     pub fn begin(&mut self, id: &name::Name, unread_tokens: u64) {
         let load = self.loads.entry(id.clone()).or_default();
         load.running += 1;
-        load.unread_tokens += unread_tokens;
+        load.unread_tokens = load.unread_tokens.saturating_add(unread_tokens);
     }
 
     /// Counts tokens that a server has read, or that it need not read any more.
@@ -133,7 +133,8 @@
         };
         let cost = |server: &Arc<server::Server>| {
             let load = self.loads.get(&server.id).copied().unwrap_or_default();
-            let waiting = load.unread_tokens + load.running * COST_OF_RUNNING;
+            let running = load.running.saturating_mul(COST_OF_RUNNING);
+            let waiting = load.unread_tokens.saturating_add(running);
             waiting.saturating_add(read_again(server).saturating_mul(COST_OF_READING_AGAIN))
         };
         let by_cost = |server: &&Arc<server::Server>| (cost(server), !rank(server));
--- a/src/gateway/meter.rs
+++ b/src/gateway/meter.rs
@@ -48,7 +48,8 @@
 
     /// Counts events that are relayed to the caller.
     pub fn count_events(&mut self, events: u64) {
-        self.output_tokens += events * self.tokens_per_event;
+        let tokens = events.saturating_mul(self.tokens_per_event);
+        self.output_tokens = self.output_tokens.saturating_add(tokens);
         self.update_reservation();
     }
 
@@ -61,7 +62,7 @@
         let counts = self.may_have_run || self.output_tokens > 0;
         let input = if counts { self.input_tokens } else { 0 };
         if let Some(reservation) = &mut self.reservation {
-            reservation.spend(input + self.output_tokens);
+            reservation.spend(input.saturating_add(self.output_tokens));
         }
     }
 }
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -93,8 +93,12 @@
     prepaid: Option<f64>,
 }
 
+/// Longest time that a configuration can set. Sums of such times don't overflow.
+const MAX_TIME: Duration = Duration::from_secs(365 * 24 * 3600);
+
 fn duration_from_millis(ms: f64) -> Duration {
-    Duration::try_from_secs_f64(ms / 1000.0).unwrap_or(Duration::MAX)
+    let time = Duration::try_from_secs_f64(ms / 1000.0);
+    time.map_or(MAX_TIME, |time| time.min(MAX_TIME))
 }
 
 /// Decodes a configuration.
--- a/src/standin/platform_store.rs
+++ b/src/standin/platform_store.rs
@@ -123,8 +123,20 @@
 impl PlatformStore {
     /// Writes a value directly, in place of the operator or a backend server.
     pub fn put(&self, key: &str, value: &str) {
-        let value = base64::engine::general_purpose::STANDARD.encode(value);
-        self.apply(key, Some(value), 0);
+        self.put_bytes(key, value.as_bytes());
+    }
+
+    /// As [`Self::put`], for a value that need not be text.
+    pub fn put_bytes(&self, key: &str, value: &[u8]) {
+        self.put_encoded(
+            key,
+            &base64::engine::general_purpose::STANDARD.encode(value),
+        );
+    }
+
+    /// As [`Self::put`], for a value that need not be base64; responses contain it as it is.
+    pub fn put_encoded(&self, key: &str, value: &str) {
+        self.apply(key, Some(value.to_owned()), 0);
     }
 
     /// Removes a key.
