platform: a value that is not base64 hides no other item of the store's response

What callers saw: nothing at first; the gateway stopped following the list of servers, a new one never became ready.

Cause: one value of a list or a watch that is not base64 failed the whole response. The list was read again, with the same result, for as long as the entry stayed.

Change: such a value is read as an empty one, with a log line and a counter. Each reader checks its values anyway: an empty entry names no server, an empty ledger grants nothing.

Result: the test failed before, the second server was never listed; it passes, and the entry counts once it is mended.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -258,10 +258,7 @@
         require_era(CALL, &response)?;
         let era = self.era();
         match response.status {
-            200 => {
-                let item = decode_item(parse(CALL, &response)?, era);
-                item.map_err(|cause| no_response(CALL, cause))
-            }
+            200 => Ok(decode_item(parse(CALL, &response)?, era)),
             404 => Ok(Item {
                 key: key.to_owned(),
                 value: Vec::new(),
@@ -303,9 +300,7 @@
             }
             for wire in page.items {
                 after.clone_from(&wire.key);
-                let item =
-                    decode_item(wire, self.era()).map_err(|cause| no_response(CALL, cause))?;
-                items.items.push(item);
+                items.items.push(decode_item(wire, self.era()));
             }
             if !page.has_more || after.is_empty() {
                 return Ok(items);
@@ -347,12 +342,8 @@
         match response.status {
             200 => {
                 let events: WireEvents = parse(CALL, &response)?;
-                let changes: Result<Vec<_>, _> = events
-                    .events
-                    .into_iter()
-                    .map(|event| decode_change(event, era))
-                    .collect();
-                let changes = changes.map_err(|cause| no_response(CALL, cause))?;
+                let changes = events.events.into_iter();
+                let changes = changes.map(|event| decode_change(event, era)).collect();
                 Ok(WatchOutcome::Changes(changes, events.store_revision))
             }
             410 => Ok(WatchOutcome::HistoryLost),
@@ -402,12 +393,8 @@
             404 => Ok(WriteOutcome::LeaseEnded),
             412 => {
                 let conflict: WireConflict = parse(CALL, &response)?;
-                let items: Result<Vec<_>, _> = conflict
-                    .items
-                    .into_iter()
-                    .map(|item| decode_item(item, era))
-                    .collect();
-                let items = items.map_err(|cause| no_response(CALL, cause))?;
+                let items = conflict.items.into_iter();
+                let items = items.map(|item| decode_item(item, era)).collect();
                 Ok(WriteOutcome::Conflict(items))
             }
             status => Err(status_error(CALL, status)),
--- a/src/platform/store_wire.rs
+++ b/src/platform/store_wire.rs
@@ -76,30 +76,27 @@
     key.bytes().map(encode).collect()
 }
 
-/// Decodes an item that the store returned in an era.
-///
-/// # Errors
-///
-/// A message with the key of the value that is not valid base64.
-pub fn decode_item(wire: WireItem, era: u64) -> Result<Item, String> {
-    let value = base64::engine::general_purpose::STANDARD.decode(&wire.value);
-    let value = value.map_err(|err| format!("the value of {} is not base64: {err}", wire.key))?;
-    Ok(Item {
+/// Decodes an item that the store returned in an era. A value that is not base64 is read as an empty
+/// one, so that it hides no other item of the same response.
+pub fn decode_item(wire: WireItem, era: u64) -> Item {
+    let decoded = base64::engine::general_purpose::STANDARD.decode(&wire.value);
+    let value = decoded.unwrap_or_else(|err| {
+        metrics::counter!("fulmar_gateway_unreadable_values_total").increment(1);
+        tracing::warn!(key = wire.key, %err, "store: a value is not base64, read as empty");
+        Vec::new()
+    });
+    Item {
         key: wire.key,
         value,
         revision: wire.revision,
         era,
-    })
+    }
 }
 
 /// Decodes a change that a watch reports.
-///
-/// # Errors
-///
-/// As for [`decode_item`].
-pub fn decode_change(wire: WireItem, era: u64) -> Result<Change, String> {
+pub fn decode_change(wire: WireItem, era: u64) -> Change {
     match wire.deleted {
-        true => Ok(Change::Deleted(wire.key)),
-        false => decode_item(wire, era).map(Change::Written),
+        true => Change::Deleted(wire.key),
+        false => Change::Written(decode_item(wire, era)),
     }
 }
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -99,6 +99,24 @@
     });
 }
 
+/// Guards against a list that can't be read as a whole because the store has one value that is not base64.
+#[test]
+fn a_value_that_is_not_base64_leaves_the_rest_of_the_list_in_force() {
+    run_test(&configuration(1, AMPLE_BUDGET, TIMEOUT_MS), async |env| {
+        add_server(&env).await;
+        env.store.put_encoded("servers/odd", "%%% no base64");
+        add_server(&env).await;
+        env.start_peer().await;
+        assert!(serves(&env).await);
+        // The entry counts once it is mended.
+        let entry = json!({"service": "plain", "address": "127.0.0.1:9", "zone": "a", "slots": 1,
+                           "state": "draining", "version": "v1", "sequence": 1});
+        env.store.put("servers/odd", &entry.to_string());
+        env.until(|env| env.gw.directory.borrow().servers.contains_key("odd"))
+            .await;
+    });
+}
+
 /// Guards against a process that ends when it computes with an extreme time or count of the configuration.
 #[test]
 fn extreme_numbers_of_the_configuration_end_no_process() {
