gateway: a record of releases with an unreadable item names no only release

What callers saw: nothing yet; found by looking for the cause of the report on odd entries elsewhere.

Cause: an item of the record that does not parse was left out, and the only release among the others was taken for the one that began a stream. The item may name another one, and the stream would be joined from two (ORDER).

Change: while the record holds such an item it is not complete: it names no only release, and copies of notes are sent to other gateways, as after the store came back from a copy.

Result: the test failed before, the stream went on; it passes, and streams go on once the item is gone.

--- a/src/gateway/releases.rs
+++ b/src/gateway/releases.rs
@@ -68,6 +68,8 @@
     read: RefCell<Vec<releases::Recorded>>,
     /// Last era of the store in which the record is known to be complete.
     complete_in: Cell<u64>,
+    /// Whether the newest read held an item that does not parse, which may name any release.
+    is_unreadable: Cell<bool>,
     /// Number of reads that have begun, and the one whose result is in `read`.
     begun: Cell<u64>,
     completed: Cell<u64>,
@@ -138,10 +140,11 @@
 }
 
 /// Whether the record names all releases at which streams may have begun, as far as this gateway knows.
-/// After the store came back from a copy it does not for a while.
+/// After the store came back from a copy it does not for a while, nor while it holds an item that does
+/// not parse.
 pub fn is_complete(gw: &core::Gateway) -> bool {
-    let era = gw.store.era();
-    era == 0 || gw.release_notes.complete_in.get() == era
+    let (era, notes) = (gw.store.era(), &gw.release_notes);
+    !notes.is_unreadable.get() && (era == 0 || notes.complete_in.get() == era)
 }
 
 fn unrecorded(gw: &core::Gateway) -> Vec<release::Release> {
@@ -183,9 +186,13 @@
             cause: "an era began meanwhile".to_owned(),
         });
     }
-    let recorded: Vec<_> = read.items.iter().filter_map(decode).collect();
+    let is_mark = |item: &&store::Item| item.key.starts_with(COMPLETE_PREFIX);
+    let (marks, items): (Vec<_>, Vec<_>) = read.items.iter().partition(is_mark);
+    let recorded: Vec<_> = items.iter().filter_map(|item| decode(item)).collect();
+    let is_unreadable = recorded.len() < items.len();
+    notes.is_unreadable.set(is_unreadable);
     let complete = format!("{COMPLETE_PREFIX}{era}");
-    let is_complete = era == 0 || read.items.iter().any(|item| item.key == complete);
+    let is_complete = era == 0 || marks.iter().any(|item| item.key == complete);
     if is_complete {
         notes.complete_in.set(era);
     }
@@ -194,7 +201,7 @@
         .borrow_mut()
         .record_read(&recorded, era, gw.now());
     notes.changed.notify(usize::MAX);
-    *notes.read.borrow_mut() = match is_complete {
+    *notes.read.borrow_mut() = match is_complete && !is_unreadable {
         true => recorded,
         false => Vec::new(),
     };
@@ -203,9 +210,6 @@
 }
 
 fn decode(item: &store::Item) -> Option<releases::Recorded> {
-    if item.key.starts_with(COMPLETE_PREFIX) {
-        return None;
-    }
     match serde_json::from_slice(&item.value) {
         Ok(Item {
             release,
@@ -215,7 +219,7 @@
             is_closing,
         }),
         Err(err) => {
-            tracing::warn!(key = item.key, %err, "releases: an item does not parse, ignored");
+            tracing::warn!(key = item.key, %err, "releases: an item does not parse");
             None
         }
     }
--- a/tests/streams_and_software.rs
+++ b/tests/streams_and_software.rs
@@ -218,3 +218,23 @@
         });
     }
 }
+
+/// Guards against taking a release for the only one while the record holds an item that can't be read.
+#[test]
+fn a_record_with_an_unreadable_item_names_no_only_release() {
+    run_test(&configuration(1, AMPLE_BUDGET, TIMEOUT_MS), async |env| {
+        start_servers(&env, &["v1"], Step::Wait(Duration::from_secs(60))).await;
+        let (late, front) = env.start_peer().await;
+        late.set_peers([].into());
+        env.gw.set_peers([].into());
+        for (id, item, goes_on) in [("s1", "?", false), ("s2", "", true)] {
+            match item {
+                "" => env.store.remove("fulmar/releases/odd"),
+                item => env.store.put("fulmar/releases/odd", item),
+            }
+            let software = begin(env.front_address, &ask(id, "")).await;
+            let taken_up = take_up(front, id, &software, item).await;
+            assert_eq!(taken_up, goes_on, "{id}");
+        }
+    });
+}
