gateway: log an entry that does not parse once for each change, and count it

Cause: one odd entry of another writer was logged each time that the list was read, and counted nowhere.

Change: a log line and a count for each change of such an entry.

Result: a test reads the list again after each of three changes and finds three lines.

--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -35,6 +35,8 @@
     pub servers: HashMap<name::Name, Arc<server::Server>>,
     /// Whether the list has been read at least once.
     pub is_loaded: bool,
+    /// Keys of entries that do not parse, with the revisions at which they were reported.
+    pub unreadable: HashMap<String, u64>,
 }
 
 /// Connects the store client to `route`, which chooses the address of each call and records whether
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -110,7 +110,11 @@
     for item in items {
         add_server(gw, item, grace_until);
     }
-    gw.directory.borrow_mut().is_loaded = true;
+    let mut directory = gw.directory.borrow_mut();
+    directory
+        .unreadable
+        .retain(|key, _| listed.contains(key.as_str()));
+    directory.is_loaded = true;
 }
 
 /// Adds a server or replaces its entry. Before `grace_until` an entry that the store took from a
@@ -118,10 +122,11 @@
 fn add_server(gw: &core::Gateway, item: &store::Item, grace_until: Duration) {
     let Some(found) = servers::decode(&item.key, &item.value) else {
         // The server's last valid entry stays in use.
-        tracing::warn!(key = item.key, "directory: entry does not parse, ignored");
+        report_unreadable(gw, item);
         return;
     };
     let mut directory = gw.directory.borrow_mut();
+    directory.unreadable.remove(&item.key);
     if let Some(known) = directory.servers.get(&found.id) {
         let is_same_process =
             known.started_unix_ms == found.started_unix_ms && known.address == found.address;
@@ -145,9 +150,19 @@
     update_carriers(gw);
 }
 
+/// Counts and logs an entry that does not parse, once for each change of it.
+fn report_unreadable(gw: &core::Gateway, item: &store::Item) {
+    let unreadable = &mut gw.directory.borrow_mut().unreadable;
+    if unreadable.insert(item.key.clone(), item.revision) != Some(item.revision) {
+        counter!("fulmar_gateway_unreadable_entries_total").increment(1);
+        tracing::warn!(key = item.key, "directory: entry does not parse, ignored");
+    }
+}
+
 /// Removes a server whose entry is gone from the store. Before `grace_until` the server is kept,
 /// and removed at that time unless the store lists it again.
 fn handle_missing(gw: &Rc<core::Gateway>, key: &str, grace_until: Duration) {
+    gw.directory.borrow_mut().unreadable.remove(key);
     let Some(id) = key.strip_prefix(servers::PREFIX) else {
         return;
     };
--- a/tests/logs.rs
+++ b/tests/logs.rs
@@ -174,6 +174,27 @@
     });
 }
 
+/// Guards against one odd entry of another writer that fills the log.
+#[test]
+fn an_entry_that_does_not_parse_is_logged_once_for_each_change() {
+    run_test(&configuration(1, 100_000, 5000), async |env| {
+        serve_drafts(&env).await;
+        let (captured, _guard) = CapturedLog::capture();
+        let lines = || captured.lines_with("directory: entry does not parse").len();
+        for change in 1..4 {
+            env.store.put("servers/odd", "?");
+            env.until(|_| lines() >= change).await;
+            // The whole list is read again.
+            let calls = || env.store.calls.borrow().get("/kv-range").copied();
+            let before = calls();
+            env.store.compact();
+            env.until(|_| calls() > before).await;
+            env.sleep(50).await;
+            assert_eq!(lines(), change);
+        }
+    });
+}
+
 /// Guards against a rush of refusals that hides what happened to requests that were sent.
 #[test]
 fn a_request_that_was_turned_away_is_logged_during_a_rush_of_refusals() {
