gateway: reset a server's connection when its request is given up

Cause: a connection was closed plainly when its request was given up, so that the kernel went on to deliver what the server had not acknowledged, once the partition was over. The class is that of the refusals: a request that is over for its caller may still begin to run.

Change: a connection to a server knows whether the response to its newest request is complete, and is reset when it is dropped before. The pool of idle connections holds the connections with their notes.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -5,7 +5,7 @@
 //! [`request`], [`admission`], [`forwarding`], [`request_log`], [`relay`], [`choosing`],
 //! [`server_limits`], [`crash_reports`], [`exchange`], [`connections`], [`meter`], [`replenishing`], [`budget`],
 //! [`ledger`], [`config_sync`], [`directory`], [`releases`], [`stream_origins`], [`peer_rpc`],
-//! [`permit_issuing`], [`fleet`] and [`core`].
+//! [`permit_issuing`], [`fleet`], [`core`] and [`server_conn`].
 
 use std::rc::Rc;
 
@@ -40,6 +40,7 @@
 pub mod request;
 pub mod request_log;
 pub mod rollback;
+pub mod server_conn;
 pub mod server_limits;
 pub mod share_log;
 mod signals;
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -15,10 +15,10 @@
 use crate::{
     coordination::{
         announcements, draining, ejection, ended_servers, expired_entries, log_sampling,
-        permit_issuer, permits, placement, presence, retry_window, router_count, send_history,
-        server_limits, share, store_route, waiting,
+        permit_issuer, permits, placement, presence, retry_window, router_count, server_limits,
+        share, store_route, waiting,
     },
-    gateway::{crash_notes, era_notes, releases, stream_origins},
+    gateway::{crash_notes, era_notes, releases, server_conn, stream_origins},
     platform,
     state::{deployment, name, server},
     transport::{h1::connection_pool, timers},
@@ -112,8 +112,8 @@
     pub retry_windows: RefCell<retry_window::RetryWindows>,
     /// This router's share of each budget, by workspace.
     pub shares: RefCell<HashMap<name::Name, share::Share>>,
-    /// Idle connections to backend servers, with the requests that each has carried.
-    pub server_pool: RefCell<connection_pool::ConnectionPool<send_history::SendHistory>>,
+    /// Idle connections to backend servers.
+    pub server_pool: RefCell<connection_pool::ConnectionPool<server_conn::ServerConn>>,
     /// Idle connections to other routers.
     pub peer_pool: RefCell<connection_pool::ConnectionPool>,
     /// Fleet listener addresses of the other routers, by `vm/incarnation`.
--- a/src/gateway/crash_reports.rs
+++ b/src/gateway/crash_reports.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     coordination::{suspect, suspect_keys, suspect_turns, suspects},
-    gateway::{connections, core, crash_notes, exchange, peer_rpc},
+    gateway::{connections, core, crash_notes, exchange, peer_rpc, server_conn},
     platform::store,
     state::server,
     transport::h1::dial,
@@ -99,7 +99,7 @@
     match dial::connect(server.address, PROBE_TIMEOUT, &gw.timers).await {
         Ok(conn) => {
             counter!("fulmar_gateway_connections_total").increment(1);
-            connections::keep(gw, server, connections::ServerConn::new(conn), None);
+            connections::keep(gw, server, server_conn::ServerConn::new(conn), None);
             false
         }
         Err(err) if err.kind() == ErrorKind::ConnectionRefused => {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     coordination::{announcements, placement, send_history, suspect_keys, suspects},
-    gateway::{connections, core},
+    gateway::{connections, core, server_conn},
     platform::headers,
     state::{deployment, name, server},
     transport::h1::{body, conn, fault, head},
@@ -46,9 +46,11 @@
     /// Reader of the body.
     pub body: body::Body,
     /// Connection from which the body is read.
-    conn: connections::ServerConn,
+    conn: server_conn::ServerConn,
     /// What shows that the response is the one to this request.
     pub evidence: Evidence,
+    /// Whether the whole request was sent.
+    sent_whole: bool,
     /// Whether the connection may be reused once the body has been read.
     reusable: bool,
     /// Counts the request as running at the server until the response is dropped.
@@ -154,8 +156,8 @@
         req,
         &headers::forwarded_request_headers(&req.head.headers, &context),
     );
-    let earlier = conn.history.sends();
-    conn.history.record_send(&req.id);
+    let earlier = conn.history().sends();
+    conn.begin_exchange(&req.id);
     let (sent_whole, received_head) = send_and_read(&mut conn, &bytes, &req.id).await;
     let (head, discarded) = received_head.map_err(|err| {
         counter!("fulmar_gateway_attempt_failures_total", "reason" => failure_reason(&err))
@@ -189,6 +191,7 @@
         body: body::Body::new(framing),
         conn,
         evidence,
+        sent_whole,
         reusable,
         running,
     })
@@ -283,11 +286,11 @@
 /// before it has read a long body. Returns whether the whole request was sent, and the head as
 /// [`read_own_response`] does.
 async fn send_and_read(
-    conn: &mut connections::ServerConn,
+    conn: &mut server_conn::ServerConn,
     bytes: &[u8],
     id: &str,
 ) -> (bool, Result<(head::ResponseHead, u32), fault::Fault>) {
-    let mut writer = conn::Conn::new(conn.conn.socket());
+    let mut writer = conn::Conn::new(conn.reader().socket());
     let sending = std::pin::pin!(writer.write(bytes));
     let reading = std::pin::pin!(read_own_response(conn, id));
     match future::select(sending, reading).await {
@@ -302,15 +305,14 @@
 /// ones to other requests are discarded, and their number is returned. A response that may be a late one
 /// is a fault.
 async fn read_own_response(
-    conn: &mut connections::ServerConn,
+    conn: &mut server_conn::ServerConn,
     id: &str,
 ) -> Result<(head::ResponseHead, u32), fault::Fault> {
-    let connections::ServerConn { conn, history } = conn;
     let mut discarded = 0;
     loop {
-        let head = head::read_response(conn).await?;
+        let head = head::read_response(conn.reader()).await?;
         let found = head.headers.text(headers::REQUEST_ID);
-        match history.owner(id, found) {
+        match conn.history().owner(id, found) {
             send_history::Owner::Newest => return Ok((head, discarded)),
             send_history::Owner::Other => {
                 counter!("fulmar_gateway_foreign_answers_total").increment(1);
@@ -321,13 +323,13 @@
                 );
                 let framing = body::response_framing(&head, "GET")?;
                 body::Body::new(framing)
-                    .read_all(conn, MAX_FOREIGN_BODY_BYTES)
+                    .read_all(conn.reader(), MAX_FOREIGN_BODY_BYTES)
                     .await?;
                 discarded += 1;
             }
             send_history::Owner::Uncertain => {
                 counter!("fulmar_gateway_unnamed_answers_total").increment(1);
-                let earlier = history.sends();
+                let earlier = conn.history().sends();
                 tracing::warn!(id, earlier, "exchange: a response names no request");
                 return Err(fault::Fault::Malformed("answer: it names no request"));
             }
@@ -342,16 +344,19 @@
     ///
     /// [`fault::Fault`] when the connection ends before the body does.
     pub async fn next(&mut self) -> Result<Option<Vec<u8>>, fault::Fault> {
-        let piece = self.body.next(&mut self.conn.conn).await;
+        let piece = self.body.next(self.conn.reader()).await;
+        if self.sent_whole && matches!(piece, Ok(None)) {
+            self.conn.end_exchange();
+        }
         self.running.record_read();
         piece
     }
 
     /// Returns the connection to the pool if it may be reused. To be called once the whole body has
     /// been read.
-    pub fn recycle(self, gw: &core::Gateway) {
+    pub fn recycle(mut self, gw: &core::Gateway) {
         let is_leaving = gw.announcements.borrow().is_leaving(&self.server, gw.now());
-        if !self.reusable || is_leaving || !self.conn.conn.unread().is_empty() {
+        if !self.reusable || is_leaving || !self.conn.reader().unread().is_empty() {
             return;
         }
         let idle = headers::keep_alive_timeout(&self.head);
--- a/src/gateway/peer_rpc.rs
+++ b/src/gateway/peer_rpc.rs
@@ -270,16 +270,16 @@
     peer: SocketAddr,
     call: &Call,
 ) -> Result<T, fault::Fault> {
-    let pooled = gw.peer_pool.borrow_mut().take(peer, gw.now(), |()| true);
+    let pooled = gw.peer_pool.borrow_mut().take(peer, gw.now(), |_| true);
     let mut conn = match pooled {
-        Some((conn, ())) => conn,
+        Some(conn) => conn,
         None => dial::connect(peer, CONNECT_TIMEOUT, &gw.timers).await?,
     };
     let body = post(&mut conn, peer, call).await?;
     let reply = serde_json::from_slice(&body);
     let reply = reply.map_err(|_| fault::Fault::Malformed("reply of a router"))?;
     let until = gw.now() + IDLE_TIMEOUT;
-    gw.peer_pool.borrow_mut().put(peer, conn, (), until);
+    gw.peer_pool.borrow_mut().put(peer, conn, until);
     Ok(reply)
 }
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -564,7 +564,7 @@
         let response_body = reader.read_all(&mut conn, MAX_RESPONSE_BYTES).await?;
         if response.keeps_alive() && framing != body::Framing::Close {
             let until = self.timers.now() + IDLE_TIMEOUT;
-            self.pool.borrow_mut().put(address, conn, (), until);
+            self.pool.borrow_mut().put(address, conn, until);
         }
         Ok(Response {
             status: response.status,
@@ -577,7 +577,7 @@
     /// Returns an idle connection to an address, or opens one.
     async fn connection(&self, address: SocketAddr) -> Result<conn::Conn, AttemptError> {
         let now = self.timers.now();
-        if let Some((conn, ())) = self.pool.borrow_mut().take(address, now, |()| true) {
+        if let Some(conn) = self.pool.borrow_mut().take(address, now, |_| true) {
             return Ok(conn);
         }
         let connected = dial::connect(address, CONNECT_TIMEOUT, &self.timers).await;
--- a/src/transport/h1/conn.rs
+++ b/src/transport/h1/conn.rs
@@ -1,5 +1,7 @@
 //! A TCP connection with a read buffer.
 
+use std::time::Duration;
+
 use futures::{AsyncReadExt, AsyncWriteExt, FutureExt};
 
 use crate::transport::h1::fault;
@@ -87,6 +89,16 @@
         self.stream.clone()
     }
 
+    /// Has the connection reset when its last handle is dropped. Bytes that the peer has not acknowledged
+    /// by then are discarded.
+    ///
+    /// # Errors
+    ///
+    /// The error of the socket option.
+    pub fn reset_on_close(&self) -> std::io::Result<()> {
+        socket2::SockRef::from(&self.stream).set_linger(Some(Duration::ZERO))
+    }
+
     /// Whether the peer is known to have closed its side or reset the connection. Bytes that it
     /// sent before hide the close.
     pub fn is_closed(&self) -> bool {
--- a/src/transport/h1/connection_pool.rs
+++ b/src/transport/h1/connection_pool.rs
@@ -1,6 +1,7 @@
 //! Pool of idle connections, kept open for further requests.
 
 use std::{
+    borrow::Borrow,
     collections::{HashMap, VecDeque},
     net::SocketAddr,
     time::Duration,
@@ -11,35 +12,40 @@
 /// Limit on the idle connections kept per address; a burst of more requests opens new ones.
 const MAX_IDLE_PER_ADDRESS: usize = 64;
 
-struct IdleConn<T> {
-    conn: conn::Conn,
-    history: T,
+struct IdleConn<C> {
+    conn: C,
     expires_at: Duration,
 }
 
-/// Idle connections by the address of the peer, each with what its user notes of its `T` history.
-#[derive(Default)]
-pub struct ConnectionPool<T = ()> {
-    idle: HashMap<SocketAddr, VecDeque<IdleConn<T>>>,
+/// Idle connections by the address of the peer. `C` is a connection, or one with notes of its user.
+pub struct ConnectionPool<C = conn::Conn> {
+    idle: HashMap<SocketAddr, VecDeque<IdleConn<C>>>,
 }
 
-impl<T> ConnectionPool<T> {
-    /// Takes the most recently used connection that has not expired and can be reused, among those
-    /// whose history `admits` the use. The others stay.
+impl<C> Default for ConnectionPool<C> {
+    fn default() -> Self {
+        let idle = HashMap::new();
+        Self { idle }
+    }
+}
+
+impl<C: Borrow<conn::Conn>> ConnectionPool<C> {
+    /// Takes the most recently used connection that has not expired and can be reused, among those that
+    /// `admits` accepts. The others stay.
     pub fn take(
         &mut self,
         address: SocketAddr,
         now: Duration,
-        admits: impl Fn(&T) -> bool,
-    ) -> Option<(conn::Conn, T)> {
+        admits: impl Fn(&C) -> bool,
+    ) -> Option<C> {
         let idle = self.idle.get_mut(&address)?;
         for at in (0..idle.len()).rev() {
-            if !admits(&idle[at].history) {
+            if !admits(&idle[at].conn) {
                 continue;
             }
             let found = idle.remove(at)?;
-            if found.expires_at > now && found.conn.is_reusable() {
-                return Some((found.conn, found.history));
+            if found.expires_at > now && found.conn.borrow().is_reusable() {
+                return Some(found.conn);
             }
         }
         if idle.is_empty() {
@@ -50,16 +56,12 @@
 
     /// Keeps a connection until `expires_at`; drops the oldest one of the address if there are
     /// too many.
-    pub fn put(&mut self, address: SocketAddr, conn: conn::Conn, history: T, expires_at: Duration) {
+    pub fn put(&mut self, address: SocketAddr, conn: C, expires_at: Duration) {
         let idle = self.idle.entry(address).or_default();
         if idle.len() >= MAX_IDLE_PER_ADDRESS {
             idle.pop_front();
         }
-        idle.push_back(IdleConn {
-            conn,
-            history,
-            expires_at,
-        });
+        idle.push_back(IdleConn { conn, expires_at });
     }
 
     /// Closes all idle connections to an address.
@@ -70,7 +72,7 @@
     /// Closes connections that have expired or can no longer be reused.
     pub fn sweep(&mut self, now: Duration) {
         for idle in self.idle.values_mut() {
-            idle.retain(|idle| idle.expires_at > now && idle.conn.is_reusable());
+            idle.retain(|idle| idle.expires_at > now && idle.conn.borrow().is_reusable());
         }
         self.idle.retain(|_, idle| !idle.is_empty());
     }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -3,7 +3,13 @@
 
 mod gateway_world;
 
-use std::{cell::Cell, collections::BTreeMap, rc::Rc, time::Duration};
+use std::{
+    cell::Cell,
+    collections::BTreeMap,
+    net::{SocketAddr, TcpListener},
+    rc::Rc,
+    time::Duration,
+};
 
 use fulmarproxy::{
     coordination::draining,
@@ -13,8 +19,10 @@
         scripted_server::{self, Step},
     },
     state::{release, share_ledger},
+    transport::h1::conn,
 };
 use gateway_world::{TestEnv, configuration, read_response, request_text, run_test};
+use socket2::{Domain, Socket, Type};
 
 const AMPLE_BUDGET: u64 = 1_000_000;
 const TIMEOUT_MS: u64 = 5000;
@@ -123,6 +131,31 @@
     });
 }
 
+/// Guards against a request that reaches its server after its caller was answered, because the kernel went on
+/// to deliver what the server had not read yet (DRAIN, GONE).
+#[test]
+fn a_request_that_was_given_up_is_not_delivered_later() {
+    run_test(&configuration(1, AMPLE_BUDGET, 200), async |env| {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.set_recv_buffer_size(2048).unwrap();
+        let address: SocketAddr = ([127, 0, 0, 1], 0).into();
+        socket.bind(&address.into()).unwrap();
+        socket.listen(8).unwrap();
+        socket.set_nonblocking(true).unwrap();
+        let listener = async_net::TcpListener::try_from(TcpListener::from(socket)).unwrap();
+        env.list_server("plain", listener.local_addr().unwrap())
+            .await;
+        let body = "m".repeat(48 * 1024);
+        let response = env.send("POST", "/book/1", "", &body).await;
+        assert_eq!(response.status, 504);
+        let (stream, _) = listener.accept().await.unwrap();
+        let mut conn = conn::Conn::new(stream);
+        while let Ok(true) = conn.fill().await {}
+        let received = conn.unread().len();
+        assert!(received < body.len(), "{received} bytes arrived");
+    });
+}
+
 #[test]
 fn a_non_idempotent_request_is_sent_once() {
     run_test(&configuration(1, AMPLE_BUDGET, TIMEOUT_MS), async |env| {
@@ -608,7 +641,7 @@
     run_test(&configuration(1, 300, TIMEOUT_MS), async |env| {
         let answer = |request: &_| scripted_server::signed_event_stream(request, 0..10, NO_DELAY);
         env.start_server("model", answer).await;
-        let silent = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let silent = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = silent.local_addr().unwrap();
         env.gw.set_peers([("entry-9/1".to_owned(), address)].into());
         // The home is whichever of the two ranks first; the silent one never answers as home.
--- a/tests/gateway_world/mod.rs
+++ b/tests/gateway_world/mod.rs
@@ -197,6 +197,16 @@
         let (listener, address) = platform_store::listener().await.unwrap();
         let serving = server.clone().serve(listener, self.executor.clone());
         self.executor.spawn(serving).detach();
+        self.list_server_of(service, software, address).await;
+        server
+    }
+
+    /// Lists a backend server at an address and waits until the gateway has it in its list.
+    pub async fn list_server(&self, service: &str, address: SocketAddr) {
+        self.list_server_of(service, "v1", address).await;
+    }
+
+    async fn list_server_of(&self, service: &str, software: &str, address: SocketAddr) {
         let number = {
             let mut server_count = self.server_count.borrow_mut();
             *server_count += 1;
@@ -210,7 +220,6 @@
         let id = format!("i-{number}");
         self.until(|env| env.gw.directory.borrow().servers.contains_key(id.as_str()))
             .await;
-        server
     }
 
     /// Connects a caller.
