--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -2,10 +2,10 @@
 //!
 //! The platform's store holds the configuration, the list of backend servers and the ledgers of
 //! budgets. The main modules, each of which uses only those listed after it, are [`front`],
-//! [`request`], [`admission`], [`forwarding`], [`request_log`], [`relay`], [`choosing`],
-//! [`server_limits`], [`crash_reports`], [`exchange`], [`connections`], [`meter`], [`replenishing`], [`budget`],
-//! [`ledger`], [`config_sync`], [`directory`], [`releases`], [`stream_origins`], [`peer_rpc`],
-//! [`permit_issuing`], [`fleet`], [`core`] and [`server_conn`].
+//! [`request`], [`admission`], [`forwarding`], [`request_log`], [`request_error`], [`relay`],
+//! [`choosing`], [`server_limits`], [`crash_reports`], [`exchange`], [`connections`], [`meter`],
+//! [`replenishing`], [`budget`], [`ledger`], [`config_sync`], [`directory`], [`releases`],
+//! [`stream_origins`], [`peer_rpc`], [`permit_issuing`], [`fleet`], [`core`] and [`server_conn`].
 
 use std::rc::Rc;
 
@@ -38,6 +38,7 @@
 pub mod releases;
 pub mod replenishing;
 pub mod request;
+pub mod request_error;
 pub mod request_log;
 pub mod rollback;
 pub mod server_conn;
--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -5,13 +5,10 @@
 use metrics::{counter, histogram};
 
 use crate::{
-    code::Code,
     coordination::{attempts, placement},
     gateway::{
-        admission::{Admitted, UNAVAILABLE_RETRY_AFTER},
-        choosing, core, crash_reports, exchange,
-        refusal::Refusal,
-        relay, request_log,
+        admission::Admitted, choosing, core, crash_reports, exchange, relay, request_error,
+        request_log,
     },
     platform::headers,
     state::{name, server},
@@ -22,21 +19,6 @@
 /// the connection. The request waits meanwhile.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(50);
 
-/// Why no complete response of a server was relayed.
-pub enum RequestError {
-    /// The gateway responds itself.
-    Refuse(Refusal),
-    /// A part of the response may have been sent. Closing the connection is the only way to tell
-    /// the caller that the response is incomplete.
-    Aborted(String),
-}
-
-impl From<Refusal> for RequestError {
-    fn from(refusal: Refusal) -> Self {
-        Self::Refuse(refusal)
-    }
-}
-
 /// A server's whole answer that says that the request failed there.
 pub struct ServerFailure {
     /// Head of the answer.
@@ -51,7 +33,7 @@
 ///
 /// # Errors
 ///
-/// [`RequestError`] tells whether the gateway may still answer by itself.
+/// [`request_error::RequestError`] tells whether the gateway may still answer by itself.
 pub async fn run_attempts(
     gw: &Rc<core::Gateway>,
     caller: &mut conn::Conn,
@@ -60,7 +42,7 @@
     stream: &mut relay::EventStream,
     failure: &mut Option<ServerFailure>,
     close: bool,
-) -> Result<(), RequestError> {
+) -> Result<(), request_error::RequestError> {
     let service = &req.service.name;
     gw.retry_windows
         .borrow_mut()
@@ -71,22 +53,25 @@
     });
     loop {
         if attempts.count() > 0 && !take_retry(gw, service) {
-            return Err(final_error(
+            return Err(request_error::final_error(
                 stream,
                 "the repeats of the service are used up",
             ));
         }
         let placed = match choosing::place(gw, req, &attempts, &stream.origin).await {
             Ok(placed) => placed,
-            Err(unplaced) => return Err(unplaced_error(gw, stream, unplaced)),
+            Err(unplaced) => return Err(request_error::unplaced_error(gw, stream, unplaced)),
         };
         // A process that was held up may find both the close and the next step ready at once.
         if caller.is_closed() {
             let cause = "the caller disconnected before the request was sent";
-            return Err(RequestError::Aborted(cause.to_owned()));
+            return Err(request_error::RequestError::Aborted(cause.to_owned()));
         }
         if req.time_left(gw.now()).is_zero() {
-            return Err(final_error(stream, "the deadline has passed"));
+            return Err(request_error::final_error(
+                stream,
+                "the deadline has passed",
+            ));
         }
         let server = &placed.server;
         gw.crash_notes
@@ -115,7 +100,9 @@
                 }
                 return Ok(());
             }
-            AttemptOutcome::CallerGone(cause) => return Err(RequestError::Aborted(cause)),
+            AttemptOutcome::CallerGone(cause) => {
+                return Err(request_error::RequestError::Aborted(cause));
+            }
             AttemptOutcome::NotRun(cause) => (cause, true),
             AttemptOutcome::Failed(cause) => (cause, false),
             AttemptOutcome::Disconnected(cause) => {
@@ -147,8 +134,8 @@
         let allowed = attempts.record_failure(not_run, stream.meter.may_have_run());
         if !allowed || req.time_left(now).is_zero() {
             return Err(match opens_at {
-                Some(opens_at) => closed_error(gw, stream, opens_at),
-                None => final_error(stream, &cause),
+                Some(opens_at) => request_error::closed_error(gw, stream, opens_at),
+                None => request_error::final_error(stream, &cause),
             });
         }
         counter!("fulmar_gateway_repeats_total").increment(1);
@@ -182,78 +169,6 @@
     retry_windows.take_retry(service, gw.retry_allowance(), routers, gw.now())
 }
 
-const CRASH_MESSAGE: &str =
-    "backend servers crashed each time that the request, or others with a part of its prompt, ran";
-
-/// Refusal of a request that crashes backend servers. Its status invites no repeat.
-pub fn crash_refusal() -> Refusal {
-    Refusal::new(Code::CrashSuspect, CRASH_MESSAGE).with_status(502)
-}
-
-/// Error for a request that is not sent.
-fn unplaced_error(
-    gw: &core::Gateway,
-    stream: &relay::EventStream,
-    unplaced: choosing::Unplaced,
-) -> RequestError {
-    match unplaced {
-        choosing::Unplaced::Refused if stream.is_started => {
-            RequestError::Aborted(CRASH_MESSAGE.to_owned())
-        }
-        choosing::Unplaced::Refused => crash_refusal().into(),
-        choosing::Unplaced::Held => held_error(stream),
-        choosing::Unplaced::AllClosed(opens_at) => closed_error(gw, stream, opens_at),
-        choosing::Unplaced::StreamLost(cause) if stream.meter.may_have_run() => {
-            final_error(stream, cause)
-        }
-        choosing::Unplaced::StreamLost(cause) => Refusal::new(Code::StreamLost, cause).into(),
-        choosing::Unplaced::NoServer => final_error(stream, "no backend server is available"),
-    }
-}
-
-/// Error for a request that was running at crashes and is not sent while others like it run.
-fn held_error(stream: &relay::EventStream) -> RequestError {
-    let message = "backend servers crashed while the request ran; it is tried at another router";
-    if stream.is_started || stream.meter.may_have_run() {
-        return final_error(stream, message);
-    }
-    counter!("fulmar_gateway_crash_holds_total").increment(1);
-    Refusal::new(Code::CrashSuspect, message)
-        .with_status(503)
-        .retry_after(UNAVAILABLE_RETRY_AFTER)
-        .into()
-}
-
-/// Error for a request that is not retried any more: a refusal or, if a part of a stream has been
-/// relayed, an aborted response.
-fn final_error(stream: &relay::EventStream, cause: &str) -> RequestError {
-    if stream.is_started {
-        return RequestError::Aborted(cause.to_owned());
-    }
-    let refusal = match stream.meter.may_have_run() {
-        true => Refusal::new(Code::BackendFailed, cause),
-        false => Refusal::new(Code::NoBackend, cause).retry_after(UNAVAILABLE_RETRY_AFTER),
-    };
-    refusal.into()
-}
-
-/// Error for a request when the servers that it could use have named a time, the earliest of which
-/// is `opens_at`.
-fn closed_error(
-    gw: &core::Gateway,
-    stream: &relay::EventStream,
-    opens_at: Duration,
-) -> RequestError {
-    let message = "the backend servers take no requests for now";
-    if stream.is_started || stream.meter.may_have_run() {
-        return final_error(stream, message);
-    }
-    let after = opens_at.saturating_sub(gw.now());
-    Refusal::new(Code::BackendsClosed, message)
-        .retry_after(after)
-        .into()
-}
-
 /// How one attempt ended; the texts are causes.
 enum AttemptOutcome {
     /// The whole response, with this status, was relayed.
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -10,11 +10,11 @@
     coordination::origin_search::Origin,
     gateway::{
         admission::{self, Admitted, UNAVAILABLE_RETRY_AFTER},
-        budget, core, crash_reports,
-        forwarding::{self, RequestError},
-        meter,
+        budget, core, crash_reports, forwarding, meter,
         refusal::Refusal,
-        relay, request_log, stream_origins,
+        relay,
+        request_error::{self, RequestError},
+        request_log, stream_origins,
     },
     platform::headers,
     state::name,
@@ -123,7 +123,7 @@
         log_admitted(gw, log, &req);
     }
     if crash_reports::refuses(gw, &req.outgoing.keys) {
-        return Err(forwarding::crash_refusal().into());
+        return Err(request_error::crash_refusal().into());
     }
     let (key, origin) = stream_origin(gw, &mut req, log).await?;
     let reservation = reserve_tokens(gw, &req, log).await?;
--- /dev/null
+++ b/src/gateway/request_error.rs
@@ -0,0 +1,97 @@
+//! Why a request got no complete response of a server, and what its caller is told.
+
+use std::time::Duration;
+
+use metrics::counter;
+
+use crate::{
+    code::Code,
+    gateway::{admission::UNAVAILABLE_RETRY_AFTER, choosing, core, refusal::Refusal, relay},
+};
+
+/// Why no complete response of a server was relayed.
+pub enum RequestError {
+    /// The gateway responds itself.
+    Refuse(Refusal),
+    /// A part of the response may have been sent. Closing the connection is the only way to tell
+    /// the caller that the response is incomplete.
+    Aborted(String),
+}
+
+impl From<Refusal> for RequestError {
+    fn from(refusal: Refusal) -> Self {
+        Self::Refuse(refusal)
+    }
+}
+
+const CRASH_MESSAGE: &str =
+    "backend servers crashed each time that the request, or others with a part of its prompt, ran";
+
+/// Refusal of a request that crashes backend servers. Its status invites no repeat.
+pub fn crash_refusal() -> Refusal {
+    Refusal::new(Code::CrashSuspect, CRASH_MESSAGE).with_status(502)
+}
+
+/// Error for a request that is not sent.
+pub fn unplaced_error(
+    gw: &core::Gateway,
+    stream: &relay::EventStream,
+    unplaced: choosing::Unplaced,
+) -> RequestError {
+    match unplaced {
+        choosing::Unplaced::Refused if stream.is_started => {
+            RequestError::Aborted(CRASH_MESSAGE.to_owned())
+        }
+        choosing::Unplaced::Refused => crash_refusal().into(),
+        choosing::Unplaced::Held => held_error(stream),
+        choosing::Unplaced::AllClosed(opens_at) => closed_error(gw, stream, opens_at),
+        choosing::Unplaced::StreamLost(cause) if stream.meter.may_have_run() => {
+            final_error(stream, cause)
+        }
+        choosing::Unplaced::StreamLost(cause) => Refusal::new(Code::StreamLost, cause).into(),
+        choosing::Unplaced::NoServer => final_error(stream, "no backend server is available"),
+    }
+}
+
+/// Error for a request that was running at crashes and is not sent while others like it run.
+fn held_error(stream: &relay::EventStream) -> RequestError {
+    let message = "backend servers crashed while the request ran; it is tried at another router";
+    if stream.is_started || stream.meter.may_have_run() {
+        return final_error(stream, message);
+    }
+    counter!("fulmar_gateway_crash_holds_total").increment(1);
+    Refusal::new(Code::CrashSuspect, message)
+        .with_status(503)
+        .retry_after(UNAVAILABLE_RETRY_AFTER)
+        .into()
+}
+
+/// Error for a request that is not retried any more: a refusal or, if a part of a stream has been
+/// relayed, an aborted response.
+pub fn final_error(stream: &relay::EventStream, cause: &str) -> RequestError {
+    if stream.is_started {
+        return RequestError::Aborted(cause.to_owned());
+    }
+    let refusal = match stream.meter.may_have_run() {
+        true => Refusal::new(Code::BackendFailed, cause),
+        false => Refusal::new(Code::NoBackend, cause).retry_after(UNAVAILABLE_RETRY_AFTER),
+    };
+    refusal.into()
+}
+
+/// Error for a request when the servers that it could use have named a time, the earliest of which
+/// is `opens_at`.
+pub fn closed_error(
+    gw: &core::Gateway,
+    stream: &relay::EventStream,
+    opens_at: Duration,
+) -> RequestError {
+    let message = "the backend servers take no requests for now";
+    if stream.is_started || stream.meter.may_have_run() {
+        return final_error(stream, message);
+    }
+    let after = opens_at.saturating_sub(gw.now());
+    Refusal::new(Code::BackendsClosed, message)
+        .retry_after(after)
+        .into()
+}
