gateway: write no refusal into a response that is being sent

What callers saw: one that reads a long plain answer slowly got, at the route's timeout, a 504 in the middle of it; with a length given, the 504 was taken for a part of the answer (MIXED).

Cause: only streams noted that a response has begun. The time limit of the request dropped the send of a plain one, and what follows took nothing as sent.

Change: a plain response notes it too, before it is sent; its connection is closed when the time has passed.

Result: the test failed before, with two heads on the connection; it passes.

--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -240,7 +240,7 @@
     if stream.is_started {
         return AttemptOutcome::Failed(format!("status {status} instead of the rest of a stream"));
     }
-    relay_response(gw, caller, req, response, close).await
+    relay_response(gw, caller, req, response, stream, close).await
 }
 
 async fn relay_stream(
@@ -280,6 +280,7 @@
     caller: &mut conn::Conn,
     req: &Admitted,
     mut response: exchange::Response,
+    stream: &mut relay::EventStream,
     close: bool,
 ) -> AttemptOutcome {
     let status = response.head.status;
@@ -297,6 +298,7 @@
     if status >= 500 && req.route.kind.is_retryable() && req.route.max_attempts > 1 {
         return AttemptOutcome::ServerFailed(ServerFailure { head, body });
     }
+    stream.is_started = true;
     match relay::send_response(caller, &head, &body, close).await {
         Ok(()) => AttemptOutcome::Done(status),
         Err(err) => AttemptOutcome::CallerGone(err.to_string()),
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -84,7 +84,7 @@
 pub struct EventStream {
     /// Counts the tokens that the request spends.
     pub meter: meter::TokenMeter,
-    /// Whether the head of the response has been sent to the caller, at least in part.
+    /// Whether a response has been sent to the caller, at least in part; it may be no stream.
     pub is_started: bool,
     /// Id of the last event relayed.
     pub last_id: Option<String>,
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -131,6 +131,24 @@
     });
 }
 
+/// Guards against a refusal in the middle of a response that its caller reads slowly (MIXED).
+#[test]
+fn nothing_is_written_after_a_part_of_a_response_when_its_time_has_passed() {
+    run_test(&configuration(1, AMPLE_BUDGET, 200), async |env| {
+        let body = "m".repeat(12 << 20);
+        let answer = move |request: &_| scripted_server::signed_response(request, 200, &body);
+        env.start_server("plain", answer).await;
+        let mut caller = env.connect().await;
+        let text = request_text("POST", "/book/1", "", "a commission");
+        caller.write(text.as_bytes()).await.unwrap();
+        env.until(|env| env.gw.in_flight.get() == 1).await;
+        env.sleep(1000).await;
+        while let Ok(true) = caller.fill().await {}
+        let received = String::from_utf8_lossy(caller.unread());
+        assert_eq!(received.matches("HTTP/1.1 ").count(), 1);
+    });
+}
+
 /// Guards against a request that reaches its server after its caller was answered, because the kernel went on
 /// to deliver what the server had not read yet (DRAIN, GONE).
 #[test]
