--- a/tests/answer_soak.rs
+++ b/tests/answer_soak.rs
@@ -346,25 +346,36 @@
     });
     thread::sleep(AFTER_TIME);
     let runs = record.runs.lock().unwrap();
-    let mut wrong = record.wrong.lock().unwrap().clone();
     let refused = record.refused.lock().unwrap();
     let ran = refused.iter().filter(|(id, _)| runs.contains_key(id));
-    wrong.extend(ran.map(|(id, status)| format!("REFUSED: {id} answered {status}")));
+    let untrue: Vec<_> = ran
+        .map(|(id, status)| format!("REFUSED: {id} answered {status}"))
+        .collect();
     let once = record.once.lock().unwrap();
     let twice = once
         .iter()
         .filter(|id| runs.get(*id).is_some_and(|runs| *runs > 1));
-    wrong.extend(twice.map(|id| format!("TWICE: {id}")));
+    let twice: Vec<_> = twice.map(|id| format!("TWICE: {id}")).collect();
+    let wrong = record.wrong.lock().unwrap();
     let summary = format!(
-        "seed {seed}: {} requests, {} served, {} refused of those that run once; {} wrong: {:?}",
+        "seed {seed}: {} requests, {} served, {} refused of those that run once; {} REFUSED, {} TWICE, \
+         {} MIXED or ORDER: {:?}",
         record.requests.load(Ordering::SeqCst),
         record.served.load(Ordering::SeqCst),
         refused.len(),
+        untrue.len(),
+        twice.len(),
         wrong.len(),
-        wrong.iter().take(5).collect::<Vec<_>>()
+        untrue
+            .iter()
+            .chain(&twice)
+            .chain(wrong.iter())
+            .take(5)
+            .collect::<Vec<_>>()
     );
+    let holds = untrue.is_empty() && twice.is_empty() && wrong.is_empty();
     println!("{summary}");
-    match wrong.is_empty() && record.served.load(Ordering::SeqCst) > 0 {
+    match holds && record.served.load(Ordering::SeqCst) > 0 {
         true => Ok(()),
         false => Err(summary),
     }
