--- a/tests/answer_soak.rs
+++ b/tests/answer_soak.rs
@@ -20,10 +20,12 @@
 };
 
 use common::{
-    disturbed_fleet::{Disturbed, Fleet, Fronts, read_head},
+    disturbed_fleet::{
+        Disturbed, Fleet, Fronts, read_head, server_id, turn_away_misdirected, with_own_key,
+    },
     placed_fleet::{put, start_store},
 };
-use gateway_world::{configuration, request_text};
+use gateway_world::{KEY, configuration, request_text};
 use serde_json::json;
 
 /// Time for which callers send and gateways are disturbed.
@@ -64,6 +66,7 @@
 
 /// A connection to a server.
 struct Served {
+    server: String,
     reader: BufReader<TcpStream>,
     /// Bytes to be sent before the next answer.
     late: Vec<u8>,
@@ -109,6 +112,9 @@
     /// Serves one request; `None` when the connection is to end.
     fn serve(&mut self, record: &Record) -> Option<()> {
         let headers = read_head(&mut self.reader)?;
+        if turn_away_misdirected(&mut self.reader, &headers, &self.server)? {
+            return Some(());
+        }
         let header = |name: &str| headers.get(name).cloned().unwrap_or_default();
         let id = header("x-request-id");
         let line = header("");
@@ -177,7 +183,8 @@
 }
 
 /// Starts a server in threads of its own.
-fn start_server(store: &str, id: &str, service: &str, record: &Record, rng: &mut fastrand::Rng) {
+fn start_server(store: &str, service: &str, record: &Record, rng: &mut fastrand::Rng) {
+    let id = server_id();
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap().to_string();
     let entry = json!({"service": service, "address": address, "zone": "a", "slots": 64,
@@ -191,11 +198,12 @@
     let (record, mut rng) = (record.clone(), rng.fork());
     thread::spawn(move || {
         for conn in listener.incoming().map_while(Result::ok) {
-            let (record, rng) = (record.clone(), rng.fork());
+            let (record, rng, server) = (record.clone(), rng.fork(), id.clone());
             thread::spawn(move || {
                 let late = Vec::new();
                 let reader = BufReader::new(conn);
                 let mut served = Served {
+                    server,
                     reader,
                     late,
                     rng,
@@ -299,6 +307,7 @@
             };
             let text = request_text("POST", path, "", &body);
             let text = text.replace("X-Request-Id: r1\r\n", &line);
+            let text = with_own_key(&text, KEY);
             let written = reader.get_mut().write_all(text.as_bytes());
             let Some(answer) = written.ok().and_then(|()| read_answer(&mut reader)) else {
                 break;
@@ -317,11 +326,10 @@
     let record = Record::default();
     let (_process, store) = start_store();
     let config = configuration(1, 100_000_000, 3000).to_string();
-    put(&store, "op/config", &config);
+    put(&store, "op/config", &with_own_key(&config, KEY));
     for service in ["plain", "model"] {
-        for number in 0..rng.usize(1..5) {
-            let id = format!("i-{service}-{number}");
-            start_server(&store, &id, service, &record, &mut rng);
+        for _ in 0..rng.usize(1..5) {
+            start_server(&store, service, &record, &mut rng);
         }
     }
     let (fronts, disturbed) = (Fronts::default(), Disturbed::default());
--- a/tests/common/disturbed_fleet.rs
+++ b/tests/common/disturbed_fleet.rs
@@ -2,9 +2,12 @@
 
 use std::{
     collections::BTreeMap,
-    io::{BufRead, BufReader},
+    io::{BufRead, BufReader, Read, Write},
     net::TcpStream,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -54,6 +57,43 @@
     }
 }
 
+/// An id for a backend server that no other one has, also none of a test that runs beside this one.
+pub fn server_id() -> String {
+    static STARTED: AtomicUsize = AtomicUsize::new(0);
+    let number = STARTED.fetch_add(1, Ordering::SeqCst);
+    format!("i-{}-{number}", std::process::id())
+}
+
+/// Replaces an API key in a text by one that no other process uses: a gateway of a test that runs beside
+/// this one may get the port of one that has ended.
+pub fn with_own_key(text: &str, key: &str) -> String {
+    text.replace(key, &format!("{key}-{}", std::process::id()))
+}
+
+/// Turns a request away that is meant for another server than `server`, whose port this one has got since.
+/// Returns whether it was; `None` when the connection ends.
+pub fn turn_away_misdirected(
+    reader: &mut BufReader<TcpStream>,
+    headers: &BTreeMap<String, String>,
+    server: &str,
+) -> Option<bool> {
+    if headers
+        .get("x-expect-instance")
+        .is_some_and(|it| it == server)
+    {
+        return Some(false);
+    }
+    let length = headers.get("content-length");
+    let length = length.map_or(0, |it| it.parse().unwrap_or(0));
+    reader.read_exact(&mut vec![0; length]).ok()?;
+    let id = headers.get("x-request-id").cloned().unwrap_or_default();
+    let answer = format!(
+        "HTTP/1.1 421 Misdirected\r\nX-Request-Id: {id}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+    );
+    reader.get_mut().write_all(answer.as_bytes()).ok()?;
+    Some(true)
+}
+
 /// Names and addresses of the gateways that callers may connect to.
 pub type Fronts = Arc<Mutex<Vec<(String, String)>>>;
 
--- a/tests/limit_soak.rs
+++ b/tests/limit_soak.rs
@@ -20,10 +20,13 @@
 };
 
 use common::{
-    disturbed_fleet::{Disturbed, Fleet, Fronts, SETTLE_TIME, read_head},
+    disturbed_fleet::{
+        Disturbed, Fleet, Fronts, SETTLE_TIME, read_head, server_id, turn_away_misdirected,
+        with_own_key,
+    },
     placed_fleet::{put, start_store},
 };
-use gateway_world::{configuration, request_text};
+use gateway_world::{KEY, configuration, request_text};
 use serde_json::json;
 
 /// Window over which the platform counts requests.
@@ -60,15 +63,16 @@
 }
 
 impl Server {
-    fn start(store: &str, id: &str) -> Self {
+    fn start(store: &str) -> Self {
+        let id = server_id();
         let server = Self::default();
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap().to_string();
-        let serving = server.clone();
+        let (serving, own) = (server.clone(), id.clone());
         thread::spawn(move || {
             for conn in listener.incoming().map_while(Result::ok) {
-                let serving = serving.clone();
-                thread::spawn(move || serving.serve(conn));
+                let (serving, own) = (serving.clone(), own.clone());
+                thread::spawn(move || serving.serve(conn, &own));
             }
         });
         let entry = json!({"service": "plain", "address": address, "zone": "a", "slots": 64,
@@ -78,10 +82,13 @@
     }
 
     /// Serves a connection until it ends.
-    fn serve(&self, conn: TcpStream) -> Option<()> {
+    fn serve(&self, conn: TcpStream, own: &str) -> Option<()> {
         let mut reader = BufReader::new(conn);
         loop {
             let headers = read_head(&mut reader)?;
+            if turn_away_misdirected(&mut reader, &headers, own)? {
+                continue;
+            }
             let header = |name: &str| headers.get(name).cloned().unwrap_or_default();
             let mut body = vec![0; header("content-length").parse().unwrap_or(0)];
             reader.read_exact(&mut body).ok()?;
@@ -173,6 +180,7 @@
         while !self.is_over.load(Ordering::SeqCst) {
             let extra = format!("{VIA}: {via}\r\n");
             let request = request_text("POST", "/look/1", &extra, "question");
+            let request = with_own_key(&request, KEY);
             reader.get_mut().write_all(request.as_bytes()).ok()?;
             let headers = read_head(&mut reader)?;
             let length = headers.get("content-length")?.parse().ok()?;
@@ -207,14 +215,11 @@
 fn play(seed: u64) -> Result<(), String> {
     let mut rng = fastrand::Rng::with_seed(seed);
     let (_process, store) = start_store();
-    put(
-        &store,
-        "op/config",
-        &configuration(1, 40_000, 5000).to_string(),
-    );
+    let config = configuration(1, 40_000, 5000).to_string();
+    put(&store, "op/config", &with_own_key(&config, KEY));
     let disturbed = Disturbed::default();
     let servers: Vec<_> = (0..rng.usize(2..5))
-        .map(|number| Server::start(&store, &format!("i-{number}")))
+        .map(|_| Server::start(&store))
         .collect();
     let callers = Callers::default();
     let mut fleet = Fleet::new(store, callers.fronts.clone());
--- a/tests/release_soak.rs
+++ b/tests/release_soak.rs
@@ -20,10 +20,13 @@
 };
 
 use common::{
-    disturbed_fleet::{Disturbed, Fleet, Fronts, SETTLE_TIME, read_head},
+    disturbed_fleet::{
+        Disturbed, Fleet, Fronts, SETTLE_TIME, read_head, server_id, turn_away_misdirected,
+        with_own_key,
+    },
     placed_fleet::{call, put, start_store},
 };
-use gateway_world::{configuration, request_text};
+use gateway_world::{KEY, configuration, request_text};
 use serde_json::json;
 
 /// Time for which callers send and gateways are disturbed.
@@ -58,14 +61,14 @@
         listener.set_nonblocking(true).unwrap();
         let address = listener.local_addr().unwrap().to_string();
         let is_over = Arc::new(AtomicBool::new(false));
-        let ends = is_over.clone();
+        let (ends, server) = (is_over.clone(), id.clone());
         thread::spawn(move || {
             while !ends.load(Ordering::SeqCst) {
                 match listener.accept() {
                     Ok((conn, _)) => {
                         conn.set_nonblocking(false).unwrap();
-                        let ends = ends.clone();
-                        thread::spawn(move || serve(conn, release, &ends));
+                        let (ends, server) = (ends.clone(), server.clone());
+                        thread::spawn(move || serve(conn, &server, release, &ends));
                     }
                     Err(_) => thread::sleep(Duration::from_millis(1)),
                 }
@@ -108,11 +111,14 @@
 }
 
 /// Serves a connection until it ends, or the server does; one stream in four is broken off.
-fn serve(conn: TcpStream, release: u32, is_over: &AtomicBool) -> Option<()> {
+fn serve(conn: TcpStream, server: &str, release: u32, is_over: &AtomicBool) -> Option<()> {
     conn.set_read_timeout(Some(Duration::from_secs(20))).ok()?;
     let mut reader = BufReader::new(conn);
     loop {
         let headers = read_head(&mut reader)?;
+        if turn_away_misdirected(&mut reader, &headers, server)? {
+            continue;
+        }
         let header = |name: &str| headers.get(name).cloned().unwrap_or_default();
         let mut body = vec![0; header("content-length").parse().unwrap_or(0)];
         reader.read_exact(&mut body).ok()?;
@@ -249,6 +255,7 @@
         };
         let text = request_text("POST", "/ask/1", &extra, "question");
         let text = text.replace("X-Request-Id: r1", &format!("X-Request-Id: {id}"));
+        let text = with_own_key(&text, KEY);
         reader.get_mut().write_all(text.as_bytes()).ok()?;
         let before = stream.next;
         let end = self.read(stream, &mut reader);
@@ -317,7 +324,7 @@
 impl Servers {
     fn add(&mut self, release: u32) {
         self.started += 1;
-        let server = Server::start(&self.store, format!("i-{}", self.started), release);
+        let server = Server::start(&self.store, server_id(), release);
         self.all.insert(self.started, server);
     }
 
@@ -354,7 +361,7 @@
     let mut rng = fastrand::Rng::with_seed(seed);
     let (_process, store) = start_store();
     let config = configuration(1, 100_000_000, 8000).to_string();
-    put(&store, "op/config", &config);
+    put(&store, "op/config", &with_own_key(&config, KEY));
     let mut servers = Servers {
         store: store.clone(),
         all: BTreeMap::new(),
