--- a/src/coordination/send_history.rs
+++ b/src/coordination/send_history.rs
@@ -21,7 +21,7 @@
     Newest,
     /// Another one.
     Other,
-    /// It can't be told: the answer names no request, and the connection has carried several.
+    /// Any of them: the answer names no request, and the connection has carried several.
     Uncertain,
 }
 
--- a/src/gateway/request_error.rs
+++ b/src/gateway/request_error.rs
@@ -1,4 +1,4 @@
-//! Why a request got no complete response of a server, and what its caller is told.
+//! Why a request got no complete response of a server, and the refusal that its caller gets.
 
 use std::time::Duration;
 
--- a/src/gateway/server_conn.rs
+++ b/src/gateway/server_conn.rs
@@ -5,7 +5,7 @@
 use crate::{coordination::send_history, transport::h1::conn};
 
 /// A connection to a backend server. It is reset when it is dropped before the response to its newest
-/// request is complete: a plain close would leave the kernel to deliver the request later.
+/// request is complete, since the kernel delivers a request after a plain close.
 pub struct ServerConn {
     conn: conn::Conn,
     history: send_history::SendHistory,
--- a/tests/answer_soak.rs
+++ b/tests/answer_soak.rs
@@ -1,5 +1,5 @@
 //! Servers that turn requests away and answer twice, late, early, under another request's id or under
-//! none, while gateways are killed, told to stop, reloaded and frozen, in series that overlap.
+//! none, while gateways are killed, terminated, reloaded and frozen, in series that overlap.
 //!
 //! `ANSWER_SOAK=10..60 cargo test --test answer_soak` plays other seeds.
 
--- a/tests/doubled_answers.rs
+++ b/tests/doubled_answers.rs
@@ -1,5 +1,5 @@
 //! Backend servers that answer twice, late, or without naming the request: what runs, and what callers
-//! are told.
+//! receive.
 
 mod gateway_world;
 
@@ -100,7 +100,7 @@
     matches!(status, 408 | 421 | 429 | 503)
 }
 
-/// Guards against requests that run though their callers were told that they had not (REFUSED).
+/// Guards against requests that run though a refusal said that they had not (REFUSED).
 #[test]
 fn a_second_copy_of_a_rejection_refuses_no_request_that_runs() {
     for (service, path) in [("plain", "/book/1"), ("model", "/draft/1")] {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -149,10 +149,9 @@
     });
 }
 
-/// Guards against a request that reaches its server after its caller was answered, because the kernel went on
-/// to deliver what the server had not read yet (DRAIN, GONE).
+/// Guards against a request that reaches its server after it was abandoned (DRAIN, GONE).
 #[test]
-fn a_request_that_was_given_up_is_not_delivered_later() {
+fn an_abandoned_request_is_not_delivered_later() {
     run_test(&configuration(1, AMPLE_BUDGET, 200), async |env| {
         let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
         socket.set_recv_buffer_size(2048).unwrap();
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -1,4 +1,4 @@
-//! Entries that other writers leave in the platform's store: the gateway goes on and follows the others.
+//! Entries that other writers leave in the platform's store: the gateway continues and follows the others.
 
 mod gateway_world;
 
--- a/tests/send_history.rs
+++ b/tests/send_history.rs
@@ -51,7 +51,7 @@
     }
 }
 
-/// Reads answers up to the one that is taken for the newest request's; `None` when it can't be told.
+/// Reads answers up to the one that is taken for the newest request's; `None` when it is uncertain.
 fn read<'a>(history: &SendHistory, id: &str, answers: &'a [Answer]) -> Option<&'a Answer> {
     let owner = |answer: &&Answer| history.owner(id, answer.named.as_deref()) != Owner::Other;
     let answer = answers.iter().find(owner)?;
--- a/tests/streams_and_software.rs
+++ b/tests/streams_and_software.rs
@@ -135,7 +135,7 @@
 }
 
 /// Takes a stream up at another gateway; fails if the answer holds events of another software version
-/// than `began`. Returns whether the stream goes on.
+/// than `began`. Returns whether the stream continues.
 async fn take_up(address: SocketAddr, id: &str, began: &str, case: &str) -> bool {
     let resumed = format!("Last-Event-Id: 1\r\nResumes: {id}\r\n");
     let response = send(address, &ask(&format!("again-{id}"), &resumed)).await;
@@ -190,8 +190,7 @@
     }
 }
 
-/// Guards against joining what two software versions write when no gateway is left that knows which of
-/// them began a stream.
+/// Guards against joining what two software versions write when no gateway knows which began a stream.
 #[test]
 fn streams_that_nobody_knows_are_not_joined_from_two_software_versions() {
     for old_has_left in [false, true] {
