gateway: end watches of the store in time to read what they missed

Cause: a response of the store may be lost while its connection stays open. A watch whose response was lost waited for it for up to 21.5 s, and nothing that the gateway learned by other calls ended it. The list of backend servers hung in the same way. When all connections had gone silent, the next call also took one silent idle connection after the other, and failed.

Change: a watch ends 1.5 s before the stable window of the settings does, and is given up 0.8 s later. A call that is given up closes the idle connections to its address.

--- a/src/coordination/watch_pacing.rs
+++ b/src/coordination/watch_pacing.rs
@@ -1,7 +1,10 @@
-//! How long a router waits before it asks for further changes of the list of backend servers.
+//! How long one watch of the store lasts, and how long a router waits before the next one.
 //!
 //! Handles fleets of many routers and servers. A watch returns with the first change, and when it is
 //! asked again at once, each change of one server's entry costs one store call at every router.
+//!
+//! Handles responses that are lost while their connection stays open. Such a watch reports nothing
+//! more, and nothing but its time limit ends it.
 
 use std::time::Duration;
 
@@ -28,3 +31,27 @@
     let pause = PAUSE_PER_ROUTER.saturating_mul(routers);
     pause.min(drain.mul_f64(DRAIN_TIME_FRACTION))
 }
+
+/// Part of the stable window in which a watch without a response is given up (0.8 s), the next call is
+/// delayed (0.25 s), and what the watch may have missed is read anew.
+const REREAD_TIME: Duration = Duration::from_millis(1500);
+
+/// Limits of the time for which one watch waits. The platform allows 30 s.
+const MIN_WATCH_TIME: Duration = Duration::from_millis(250);
+const MAX_WATCH_TIME: Duration = Duration::from_secs(20);
+
+/// Time for which one watch waits for changes.
+///
+/// `stable_window` is the time after a disruption of the store within which a router must know again
+/// what the store holds, also when the response to its watch was lost.
+///
+/// ```
+/// use std::time::Duration;
+/// use fulmarproxy::coordination::watch_pacing;
+/// let wait = watch_pacing::wait(Duration::from_secs(3));
+/// assert_eq!(wait, Duration::from_millis(1500));
+/// ```
+pub fn wait(stable_window: Duration) -> Duration {
+    let wait = stable_window.saturating_sub(REREAD_TIME);
+    wait.clamp(MIN_WATCH_TIME, MAX_WATCH_TIME)
+}
--- a/src/gateway/config_sync.rs
+++ b/src/gateway/config_sync.rs
@@ -10,10 +10,6 @@
     platform::{configuration, store},
 };
 
-/// Time for which one watch call waits for changes. A call costs the same however long it waits,
-/// and a dead connection is detected by TCP keepalive probes, not by this timeout.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(20);
-
 /// Delay before the configuration is read again after a failed store call. It bounds how long the
 /// end of a store outage goes unnoticed.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
@@ -45,7 +41,7 @@
     loop {
         let watched = gw
             .store
-            .watch(configuration::PREFIX, after, WATCH_TIMEOUT)
+            .watch(configuration::PREFIX, after, gw.watch_wait())
             .await?;
         gw.config_confirmed_at.set(gw.now());
         let store::WatchOutcome::Changes(changes, revision) = watched else {
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -16,7 +16,7 @@
     coordination::{
         announcements, draining, ejection, ended_servers, expired_entries, log_sampling,
         permit_issuer, permits, placement, presence, retry_window, router_count, server_limits,
-        share, store_route, waiting,
+        share, store_route, waiting, watch_pacing,
     },
     gateway::{crash_notes, era_notes, releases, server_conn, stream_origins},
     platform,
@@ -234,6 +234,11 @@
         *self.settings.borrow_mut() = settings;
     }
 
+    /// Time for which one watch of the store waits for changes.
+    pub fn watch_wait(&self) -> Duration {
+        watch_pacing::wait(self.settings.borrow().stable_window)
+    }
+
     /// Time since the process started.
     pub fn now(&self) -> Duration {
         self.timers.now()
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -11,10 +11,6 @@
     state::{name, server},
 };
 
-/// Time for which one watch call waits for changes. A call costs the same however long it waits,
-/// and a dead connection is detected by TCP keepalive probes, not by this timeout.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(20);
-
 /// Delay before the list is read again after a failed store call.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 
@@ -69,7 +65,7 @@
     loop {
         let watched = gw
             .store
-            .watch(servers::PREFIX, after, WATCH_TIMEOUT)
+            .watch(servers::PREFIX, after, gw.watch_wait())
             .await?;
         gw.servers_confirmed_at.set(gw.now());
         let store::WatchOutcome::Changes(changes, revision) = watched else {
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -12,6 +12,9 @@
 /// Interval of backend servers' writes when the settings don't name it.
 const DEFAULT_HEARTBEAT: Duration = Duration::from_secs(2);
 
+/// Time after a disruption of the store when the settings don't name it.
+const DEFAULT_STABLE_WINDOW: Duration = Duration::from_secs(3);
+
 #[derive(Deserialize)]
 struct File {
     node: String,
@@ -37,6 +40,7 @@
     grace_s: f64,
     #[serde(default)]
     drain_ms: f64,
+    stable_window_ms: Option<f64>,
     retry_budget_ratio: f64,
     budget_window_s: f64,
     /// Retries allowed per window in addition to the ratio. Despite the name, this has nothing to
@@ -81,6 +85,9 @@
     pub grace: Duration,
     /// Time within which requests must stop to reach a backend server that says that it drains.
     pub drain: Duration,
+    /// Time after the end of a disruption within which the gateway must know again what the store
+    /// holds.
+    pub stable_window: Duration,
     /// Retries allowed per request of a service.
     pub retries_per_request: f64,
     /// Time window over which requests and retries are counted.
@@ -153,6 +160,10 @@
         },
         grace: duration_from_secs(file.bounds.grace_s, "bounds.grace_s")?,
         drain: duration_from_secs(file.bounds.drain_ms / 1000.0, "bounds.drain_ms")?,
+        stable_window: match file.bounds.stable_window_ms {
+            Some(millis) => duration_from_secs(millis / 1000.0, "bounds.stable_window_ms")?,
+            None => DEFAULT_STABLE_WINDOW,
+        },
         retries_per_request: file.bounds.retry_budget_ratio,
         retry_window: duration_from_secs(file.bounds.budget_window_s, "bounds.budget_window_s")?,
         retry_slack: file.bounds.budget_slack,
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -22,15 +22,13 @@
     },
 };
 
-/// Time limit for one attempt at a call, except a watch. A slow store takes a quarter of a second.
+/// Time limit for one attempt at a call; that of a watch is longer by the wait that it asks for. A slow
+/// store takes a quarter of a second.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Time limit for connecting. A round trip takes a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Time by which the response to a watch may exceed the wait that the watch asked for.
-const WATCH_TIMEOUT_MARGIN: Duration = Duration::from_millis(1500);
-
 /// Time for which an idle connection to the store is kept for the next call.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -325,7 +323,7 @@
             percent_encode(prefix),
             wait.as_millis()
         );
-        let timeout = wait + WATCH_TIMEOUT_MARGIN;
+        let timeout = wait + CALL_TIMEOUT;
         let era = self.era();
         let watching = async { Some(self.call(CALL, "GET", &path, None, timeout).await) };
         let era_ended = async {
@@ -482,9 +480,14 @@
             let attempt = self.exchange(address, method, path, body);
             let outcome = match self.timers.within(timeout, attempt).await {
                 Some(outcome) => outcome,
-                None => Err(AttemptError::NoResponse(format!(
-                    "no response within {timeout:?}"
-                ))),
+                None => {
+                    metrics::counter!("fulmar_gateway_store_timeouts_total", "call" => call)
+                        .increment(1);
+                    // Idle connections may have gone silent together with this one.
+                    self.pool.borrow_mut().close_all(address);
+                    let cause = format!("no response within {timeout:?}");
+                    Err(AttemptError::NoResponse(cause))
+                }
             };
             let outcome = outcome.and_then(|response| self.judge_era(call, address, response));
             let refused = matches!(&outcome, Ok(response) if matches!(response.status, 429 | 503));
--- a/src/standin/platform_store.rs
+++ b/src/standin/platform_store.rs
@@ -56,6 +56,11 @@
     /// Number of further writes that take effect and never get a response, while the connection
     /// stays open.
     pub hanging_responses: Cell<u32>,
+    /// Number of further watches whose responses are lost. Their connections stay open and return
+    /// nothing further.
+    pub lost_watches: Cell<u32>,
+    /// Number of connections, in the order in which they were accepted, that return nothing further.
+    pub silent_connections: Cell<u32>,
     /// Number of further conditional writes that conflict, as with another writer's.
     pub conflicting_writes: Cell<u32>,
     /// Whether watches report no changes.
@@ -86,6 +91,8 @@
     pub faults: Faults,
     /// Number of calls received, by path.
     pub calls: RefCell<BTreeMap<String, u32>>,
+    /// Number of connections accepted.
+    pub connections: Cell<u32>,
 }
 
 #[derive(Deserialize)]
@@ -288,16 +295,22 @@
     ) {
         while let Ok((stream, _)) = listener.accept().await {
             let store = self.clone();
+            let number = self.connections.get() + 1;
+            self.connections.set(number);
             let serving = async move {
                 let mut conn = conn::Conn::new(stream);
-                while let Ok(true) = store.serve_request(&mut conn).await {}
+                while let Ok(true) = store.serve_request(&mut conn, number).await {}
             };
             executor.spawn(serving).detach();
         }
     }
 
-    /// Serves one call; returns whether the connection stays open.
-    async fn serve_request(&self, conn: &mut conn::Conn) -> Result<bool, fault::Fault> {
+    /// Serves one call on the connection with this number; returns whether the connection stays open.
+    async fn serve_request(
+        &self,
+        conn: &mut conn::Conn,
+        number: u32,
+    ) -> Result<bool, fault::Fault> {
         let Some(head) = head::read_request(conn, MAX_REQUEST_BYTES).await? else {
             return Ok(false);
         };
@@ -335,6 +348,14 @@
             self.faults.hanging_responses.set(hanging - 1);
             std::future::pending::<()>().await;
         }
+        let lost = self.faults.lost_watches.get();
+        if path == "/kv-watch" && lost > 0 {
+            self.faults.lost_watches.set(lost - 1);
+            std::future::pending::<()>().await;
+        }
+        if number <= self.faults.silent_connections.get() {
+            std::future::pending::<()>().await;
+        }
         self.respond(conn, status, &value).await
     }
 
