gateway: relay only the next events of a stream

After a stream broke off, the next server's signed 200 without a type was relayed whatever its body was: the text of an error, a second answer with its head, or events that the caller had. The stream then ended as complete, also after an empty body. A first answer of this kind reached the caller as a whole stream.

Cause: a response counted as the rest of a stream by its head, and its body was relayed in pieces that end with a blank line. The fields and ids of the events were not looked at.

Change: only events with known fields, and ids that increase over all servers of a stream, are relayed. Anything else ends the attempt as one that broke off after the last event; so does an answer without an event that names no type. A server that ends its connection there is asked whether it has crashed, as before.

--- a/src/coordination.rs
+++ b/src/coordination.rs
@@ -19,6 +19,7 @@
 pub mod ended_servers;
 pub mod era;
 pub mod escrow;
+pub mod event_sequence;
 pub mod expired_entries;
 pub mod fair_queue;
 pub mod history;
--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -265,13 +265,10 @@
         }
         Err(relay::RelayError::Caller(err)) => AttemptOutcome::CallerGone(err.to_string()),
         Err(relay::RelayError::Server(err)) => failed_read(&err, format!("broken off: {err}")),
-        Err(relay::RelayError::EndedInsideEvent) => {
-            let cause = "broken off inside an event".to_owned();
-            match response.framing {
-                body::Framing::Close => AttemptOutcome::Disconnected(cause),
-                body::Framing::Length(_) | body::Framing::Chunked => AttemptOutcome::Failed(cause),
-            }
-        }
+        Err(relay::RelayError::Broken(cause)) => match response.framing {
+            body::Framing::Close => AttemptOutcome::Disconnected(cause),
+            body::Framing::Length(_) | body::Framing::Chunked => AttemptOutcome::Failed(cause),
+        },
     }
 }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -5,7 +5,7 @@
 use metrics::counter;
 
 use crate::{
-    coordination::origin_search,
+    coordination::{event_sequence, origin_search},
     gateway::{core, exchange, meter, refusal, stream_origins},
     platform::headers,
     transport::h1::{conn, fault, head},
@@ -76,8 +76,9 @@
     Caller(fault::Fault),
     /// Reading from the server failed.
     Server(fault::Fault),
-    /// The server's response ended inside an event.
-    EndedInsideEvent,
+    /// What the server sent, to the end of its response or up to some point, is not the rest of the stream;
+    /// the text is the cause.
+    Broken(String),
 }
 
 /// A stream of server-sent events that is relayed to the caller, across all attempts of a request.
@@ -88,6 +89,8 @@
     pub is_started: bool,
     /// Id of the last event relayed.
     pub last_id: Option<String>,
+    /// What may be relayed next.
+    sequence: event_sequence::EventSequence,
     /// Release that brought the first event.
     pub origin: origin_search::Origin,
     /// Hash under which the origin is noted; `None` when the stream can't be resumed.
@@ -112,7 +115,7 @@
     Ok(std::mem::take(&mut held.bytes))
 }
 
-/// Whether a response to a request for a stream is one; it need not name its type.
+/// Whether a response to a request for a stream may be one; it need not name its type.
 ///
 /// ```
 /// use fulmarproxy::{gateway::relay, transport::h1::head};
@@ -124,9 +127,14 @@
 /// assert!(!relay::is_event_stream(&response));
 /// ```
 pub fn is_event_stream(response: &head::ResponseHead) -> bool {
+    response.headers.all("Content-Type").next().is_none() || names_event_stream(response)
+}
+
+/// Whether a response names the type of an event stream.
+fn names_event_stream(response: &head::ResponseHead) -> bool {
     const TYPE: &[u8] = b"text/event-stream";
     let mut types = response.headers.all("Content-Type");
-    types.next().is_none_or(|value| {
+    types.next().is_some_and(|value| {
         let name = value.split(|byte| *byte == b';').next();
         name.is_some_and(|name| name.trim_ascii().eq_ignore_ascii_case(TYPE))
     })
@@ -175,17 +183,20 @@
 
 impl EventStream {
     /// Creates a stream of which nothing has been relayed yet. `origin` is known when the caller takes it
-    /// up again; `key` is the hash under which it is noted, `None` when it can't be resumed.
+    /// up again, and `received` is the id of the last event that it has; `key` is the hash under which the
+    /// origin is noted, `None` when the stream can't be resumed.
     pub fn new(
         gw: &Rc<core::Gateway>,
         meter: meter::TokenMeter,
         key: Option<u64>,
         origin: origin_search::Origin,
+        received: Option<u64>,
     ) -> Self {
         Self {
             meter,
             is_started: false,
             last_id: None,
+            sequence: event_sequence::EventSequence::new(headers::EVENT_FIELDS, received),
             origin,
             key,
             partial: Held::new(gw),
@@ -197,7 +208,7 @@
     ///
     /// An event is held back until it is complete, so that another server can resume the stream
     /// after the last relayed event. A response that ends inside an event was broken off, however
-    /// its end is marked.
+    /// its end is marked, and so was one that goes on with other bytes than the next events.
     ///
     /// # Errors
     ///
@@ -209,6 +220,7 @@
         close: bool,
     ) -> Result<(), RelayError> {
         self.partial.bytes.clear();
+        let mut has_events = false;
         loop {
             let piece = response.next().await.map_err(RelayError::Server)?;
             let Some(piece) = piece else { break };
@@ -219,14 +231,29 @@
                 added.map_err(RelayError::Server)?;
             } else {
                 let events: Vec<u8> = self.partial.bytes.drain(..len).collect();
-                self.note_origin(response);
-                self.send_chunk(caller, &response.head, &events, close)
-                    .await?;
+                let accepted = self.sequence.accept(&events);
+                if accepted.len > 0 {
+                    has_events = true;
+                    self.note_origin(response);
+                    self.count_events(&accepted);
+                    let events = &events[..accepted.len];
+                    self.send_chunk(caller, &response.head, events, close)
+                        .await?;
+                }
+                if let Some(mismatch) = accepted.mismatch {
+                    self.note_mismatch(response, mismatch);
+                    return Err(RelayError::Broken(format!("broken off: {mismatch}")));
+                }
             }
         }
         self.note_end(response);
         if is_inside_event(&self.partial.bytes) {
-            return Err(RelayError::EndedInsideEvent);
+            return Err(RelayError::Broken("broken off inside an event".to_owned()));
+        }
+        if !has_events && !names_event_stream(&response.head) {
+            // Nothing shows that it is a stream.
+            let cause = "an answer without an event or a type".to_owned();
+            return Err(RelayError::Broken(cause));
         }
         if !self.partial.bytes.is_empty() {
             let rest = std::mem::take(&mut self.partial.bytes);
@@ -273,6 +300,18 @@
         }
     }
 
+    /// Counts and logs that a server sent other bytes than the next events.
+    fn note_mismatch(&self, response: &exchange::Response, mismatch: event_sequence::Mismatch) {
+        let reason = match mismatch {
+            event_sequence::Mismatch::NotAnEvent => "not_an_event",
+            event_sequence::Mismatch::NoId => "no_id",
+            event_sequence::Mismatch::OutOfOrder => "out_of_order",
+        };
+        counter!("fulmar_gateway_stream_mismatches_total", "reason" => reason).increment(1);
+        let (server, last_id) = (&response.server.id, &self.last_id);
+        tracing::info!(%server, last_id, %mismatch, "relay: a server sent no next event");
+    }
+
     /// Sends the head of the response unless it has been sent.
     async fn send_head(
         &mut self,
@@ -297,21 +336,17 @@
         close: bool,
     ) -> Result<(), RelayError> {
         self.send_head(caller, head, close).await?;
-        self.count_events(events);
         let mut chunk = format!("{:x}\r\n", events.len()).into_bytes();
         chunk.extend_from_slice(events);
         chunk.extend_from_slice(b"\r\n");
         caller.write(&chunk).await.map_err(RelayError::Caller)
     }
 
-    /// Counts the events in `events` by their `id:` lines, and stores the id of the last one.
-    fn count_events(&mut self, events: &[u8]) {
-        let text = String::from_utf8_lossy(events);
-        for line in text.split(['\n', '\r']) {
-            if let Some(id) = line.strip_prefix("id:") {
-                self.last_id = Some(id.trim().to_owned());
-                self.meter.count_events(1);
-            }
+    /// Counts accepted events, and stores the id of the last one.
+    fn count_events(&mut self, accepted: &event_sequence::Accepted<'_>) {
+        if let Some(id) = accepted.last_id {
+            self.last_id = Some(id.to_owned());
+            self.meter.count_events(accepted.ids);
         }
     }
 }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -22,6 +22,9 @@
 /// Id of the request that brought the first event of a stream which the caller takes up again.
 pub const RESUMES: &str = "Resumes";
 
+/// Names of the fields that an event of a stream may have.
+pub const EVENT_FIELDS: &[&str] = &["event", "data", "id", "retry", "x-weight-versions"];
+
 /// Seconds after which a caller may try again.
 pub const RETRY_AFTER: &str = "Retry-After";
 
