gateway: pass on no body without a length that holds another answer

What callers saw: MIXED, found by a test. A server answered a booking without a length, wrote a second answer behind it and closed; the caller got 200 with the first body, the second head and its body, framed as whole.

Cause: bytes behind an answer are told apart by its length or chunks. A body that ends with its connection was passed on whatever it held.

Change: such a body that holds a response head which names a request fails the attempt, as one that may have run.

Result: an_answer_without_length_ends_before_a_second_answer fails with the check taken out, with the body as above, and passes with it.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -8,7 +8,7 @@
     coordination::{event_sequence, origin_search},
     gateway::{core, exchange, meter, refusal, stream_origins},
     platform::headers,
-    transport::h1::{conn, fault, head},
+    transport::h1::{body, conn, fault, head},
 };
 
 /// Maximum size of a body that is buffered before it is relayed, in bytes.
@@ -103,7 +103,8 @@
 ///
 /// # Errors
 ///
-/// [`fault::Fault`] when the body ends early or is too large.
+/// [`fault::Fault`] when the body ends early, is too large, or ends with its connection and holds another
+/// response.
 pub async fn read_body(
     gw: &Rc<core::Gateway>,
     response: &mut exchange::Response,
@@ -112,6 +113,15 @@
     while let Some(piece) = response.next().await? {
         held.add(&piece, MAX_BODY_BYTES)?;
     }
+    // Nothing else shows where such a body ends.
+    if response.framing == body::Framing::Close
+        && head::find_response(&held.bytes, headers::REQUEST_ID).is_some()
+    {
+        counter!("fulmar_gateway_foreign_answers_total").increment(1);
+        let (server, len) = (&response.server.id, held.bytes.len());
+        tracing::warn!(%server, len, "relay: a body without a length holds another response");
+        return Err(fault::Fault::Malformed("body: it holds another answer"));
+    }
     Ok(std::mem::take(&mut held.bytes))
 }
 
--- a/src/transport/h1/head.rs
+++ b/src/transport/h1/head.rs
@@ -204,3 +204,26 @@
     };
     Ok(Some((head, len)))
 }
+
+/// Position of the first response head within `bytes` that has a header `name`; it may be cut off after
+/// that header.
+///
+/// ```
+/// use fulmarproxy::transport::h1::head;
+/// let bytes = b"done\nHTTP/1.1 503 Busy\r\nX-Id: 1\r\n";
+/// assert_eq!(head::find_response(bytes, "X-Id"), Some(5));
+/// assert_eq!(head::find_response(b"HTTP/1.1 503 Busy\r\n\r\nX-Id: 1", "X-Id"), None);
+/// ```
+pub fn find_response(bytes: &[u8], name: &str) -> Option<usize> {
+    const VERSION: &[u8] = b"HTTP/1.";
+    let starts = bytes.windows(VERSION.len()).enumerate();
+    let mut starts = starts.filter(|(_, window)| *window == VERSION);
+    starts.find_map(|(at, _)| {
+        let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut response = httparse::Response::new(&mut headers);
+        response.parse(&bytes[at..]).ok()?;
+        let mut headers = response.headers.iter();
+        let is_named = headers.any(|header| header.name.eq_ignore_ascii_case(name));
+        is_named.then_some(at)
+    })
+}
--- a/tests/spliced_answers.rs
+++ b/tests/spliced_answers.rs
@@ -266,6 +266,39 @@
     }
 }
 
+/// Guards against a second answer that becomes part of the body before it (MIXED).
+#[test]
+fn an_answer_without_length_ends_before_a_second_answer() {
+    const BODY: &str = "booked\n";
+    for (path, service) in [
+        ("/book/1", "plain"),
+        ("/look/1", "plain"),
+        ("/draft/1", "model"),
+    ] {
+        run_test(&configuration(1, AMPLE_BUDGET, TIMEOUT_MS), async |env| {
+            let body = match service {
+                "model" => events(0..RELAYED),
+                _ => BODY.to_owned(),
+            };
+            let sent = body.clone();
+            let first = script(move |head| {
+                let second = answer(&head.replace("200 X", "503 X"), "", any_length(), "full");
+                (
+                    answer(head, "", Framing::Close, &format!("{sent}{second}")),
+                    true,
+                )
+            });
+            let resumed = first.clone();
+            let plan = Rc::new(RefCell::new(Plan { first, resumed }));
+            start_servers(&env, service, &plan).await;
+            let got = env.send("POST", path, USAGE, "prompt").await;
+            let text = String::from_utf8_lossy(&got.body).into_owned();
+            assert!(got.status == 502 || text == body, "{path}: {text:?}");
+            assert!(got.status == 502 || !got.whole, "{path}");
+        });
+    }
+}
+
 /// Guards against a 200 whose server stopped within the head of its answer (MIXED, ORDER): as the first
 /// answer on a connection, as a later one, and after an interim response.
 #[test]
