--- a/tests/lost_store_responses.rs
+++ b/tests/lost_store_responses.rs
@@ -3,7 +3,14 @@
 
 mod gateway_world;
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    io::{BufRead, BufReader, Write},
+    net::{SocketAddr, TcpListener},
+    rc::Rc,
+    sync::{Arc, Mutex},
+    thread,
+    time::Duration,
+};
 
 use fulmarproxy::{
     coordination::watch_pacing,
@@ -106,3 +113,48 @@
     };
     smol::block_on(executor.run(work));
 }
+
+/// Starts a server that answers each call with the bytes and closes the connection.
+fn start_server(answer: Arc<Mutex<Vec<u8>>>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for mut conn in listener.incoming().flatten() {
+            let lines = BufReader::new(conn.try_clone().unwrap()).lines();
+            let ended = lines.map_while(Result::ok).any(|line| line.is_empty());
+            if ended {
+                let bytes = answer.lock().unwrap().clone();
+                let _ = conn.write_all(&bytes);
+            }
+        }
+    });
+    address
+}
+
+/// Guards against a list of servers without entries, or a missing configuration, that comes from a response
+/// which was cut.
+#[test]
+fn a_cut_response_of_the_store_is_none() {
+    const BODY: &str = r#"{"items":[],"has_more":false,"store_revision":7}"#;
+    let framings = [
+        format!("Content-Length: {}\r\n\r\n{BODY}", BODY.len()),
+        format!(
+            "Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{BODY}\r\n0\r\n\r\n",
+            BODY.len()
+        ),
+        format!("\r\n{BODY}"),
+    ];
+    let answer = Arc::new(Mutex::new(Vec::new()));
+    let client = client(start_server(answer.clone()));
+    for framing in framings {
+        let whole = format!("HTTP/1.1 200 OK\r\n{framing}").into_bytes();
+        for cut in 0..whole.len() {
+            *answer.lock().unwrap() = whole[..cut].to_vec();
+            let read = smol::block_on(client.range("servers/", false));
+            assert!(read.is_err(), "{framing:?} cut at {cut}: {read:?}");
+        }
+        *answer.lock().unwrap() = whole;
+        let read = smol::block_on(client.range("servers/", false));
+        assert_eq!(read.unwrap().store_revision, 7);
+    }
+}
