--- a/tests/answer_soak.rs
+++ b/tests/answer_soak.rs
@@ -1,5 +1,5 @@
 //! Servers that turn requests away and answer twice, late, early, under another request's id or under
-//! none, while gateways are killed, terminated, reloaded and frozen, in series that overlap.
+//! none, go on with another answer in the middle of one, or bring something else than a stream's rest, while gateways are killed, terminated, reloaded and frozen, in series that overlap.
 //!
 //! `ANSWER_SOAK=10..60 cargo test --test answer_soak` plays other seeds.
 
@@ -142,8 +142,37 @@
         self.work();
         let head = format!("{named}X-Response-Signature: s\r\n");
         if self.happens(self.manners.fails) {
-            return match self.rng.u8(..4) {
+            let is_stream = line.contains(" /draft/") || line.contains(" /ask/");
+            let whole = match is_stream {
+                true => (0..EVENTS).map(|event| event_text(event, &id)).collect(),
+                false => id.clone(),
+            };
+            return match self.rng.u8(..8) {
                 0 => None,
+                4 => {
+                    // The head is cut, and that of another answer follows.
+                    let text = format!("HTTP/1.1 200 OK\r\n{head}");
+                    let cut = self.rng.usize(1..text.len());
+                    self.send(format!("{}{rejection}", &text[..cut]).as_bytes())?;
+                    None
+                }
+                5 => {
+                    let text = format!("HTTP/1.1 200 OK\r\n{head}\r\n{whole}{rejection}");
+                    self.send(text.as_bytes())?;
+                    None
+                }
+                6 if is_stream => {
+                    let text = "internal error\n\n";
+                    let lines = format!("{head}Content-Length: {}\r\n", text.len());
+                    let text = format!("HTTP/1.1 200 OK\r\n{lines}\r\n{text}");
+                    self.answer(&id, &text)
+                }
+                7 if is_stream => {
+                    // All events, whatever the caller has received.
+                    let lines = format!("{head}Content-Length: {}\r\n", whole.len());
+                    let text = format!("HTTP/1.1 200 OK\r\n{lines}\r\n{whole}");
+                    self.answer(&id, &text)
+                }
                 1 => {
                     self.send(b"HTTP/1.1 200 OK\r\nContent-Le")?;
                     None
@@ -169,7 +198,7 @@
         // A resumed stream belongs to the same caller, whose name all its events bear.
         let mut text = format!("HTTP/1.1 200 OK\r\n{head}Transfer-Encoding: chunked\r\n\r\n");
         for event in first..EVENTS {
-            let event = format!("id: {event}\ndata: {id}\n\n");
+            let event = event_text(event, &id);
             text.push_str(&format!("{:x}\r\n{event}\r\n", event.len()));
         }
         text.push_str("0\r\n\r\n");
@@ -182,6 +211,10 @@
     }
 }
 
+fn event_text(event: usize, id: &str) -> String {
+    format!("id: {event}\ndata: {id}\n\n")
+}
+
 /// Starts a server in threads of its own.
 fn start_server(store: &str, service: &str, record: &Record, rng: &mut fastrand::Rng) {
     let id = server_id();
@@ -265,10 +298,9 @@
     }
     record.served.fetch_add(1, Ordering::SeqCst);
     let is_call = path == "/book/1" || path == "/look/1";
-    let event = |number| format!("id: {number}\ndata: {id}\n\n");
     let expected = match is_call {
         true => id.to_owned(),
-        false => (0..EVENTS).map(event).collect(),
+        false => (0..EVENTS).map(|event| event_text(event, id)).collect(),
     };
     if answer.body != expected {
         let wrong = format!("MIXED or ORDER: {path} {id}: {:?}", answer.body);
--- a/tests/common/proxy.rs
+++ b/tests/common/proxy.rs
@@ -118,6 +118,11 @@
         }
     }
 
+    /// Has new connections forward again. Those that are open keep their faults for good.
+    pub fn thaw_new_connections(&self) {
+        self.state.lock().unwrap().new_link_faults = Faults::default();
+    }
+
     /// Delays all bytes in both directions, on open and on new connections.
     pub fn delay(&self, delay: Duration) {
         self.update_all(|faults| faults.delay = delay, Direction::Both);
