gateway: let a stream that can't be resumed begin anew

What callers would have seen: a caller that names an event of an earlier stream, on a route that can't be resumed, got 502 where the server ignores the name and sends all events. Browsers name it of their own accord.

Cause: the check of events, new since the last release, took the name as the event to go on after on every route.

Change: it does so on routes that can be resumed.

Result: a_stream_that_cannot_be_resumed_may_begin_anew fails without the change, with 502, and passes with it.

--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -133,7 +133,9 @@
     let engine = req.service.engine.as_ref();
     let per_event = engine.map_or(1, |engine| engine.tokens_per_event);
     let meter = meter::TokenMeter::new(reservation, req.token_need.input, per_event);
-    let resumption = headers::resumption(&req.outgoing.head.headers);
+    // Elsewhere a server may begin anew, whatever the caller has received.
+    let is_resumable = req.route.kind.is_resumable();
+    let resumption = headers::resumption(&req.outgoing.head.headers).filter(|_| is_resumable);
     let received = resumption.and_then(|it| it.last_event.parse().ok());
     let mut stream = relay::EventStream::new(gw, meter, key, origin, received);
     let mut failure = None;
--- a/tests/spliced_answers.rs
+++ b/tests/spliced_answers.rs
@@ -249,6 +249,26 @@
     }
 }
 
+/// Guards against breaking off a stream that can't be resumed, since its caller names an event of an earlier one.
+#[test]
+fn a_stream_that_cannot_be_resumed_may_begin_anew() {
+    run_test(&configuration(1, AMPLE_BUDGET, TIMEOUT_MS), async |env| {
+        let first = script(|head| {
+            (
+                answer(head, EVENT_STREAM, any_length(), &events(0..5)),
+                false,
+            )
+        });
+        let resumed = first.clone();
+        let plan = Rc::new(RefCell::new(Plan { first, resumed }));
+        start_servers(&env, "model", &plan).await;
+        let extra = format!("{USAGE}Last-Event-Id: 2\r\n");
+        let got = env.send("POST", "/draft/1", &extra, "prompt").await;
+        let text = String::from_utf8_lossy(&got.body);
+        assert_eq!((got.status, &*text, got.whole), (200, &*events(0..5), true));
+    });
+}
+
 /// Guards against a first answer that is no stream and reaches the caller as one (MIXED, ORDER).
 #[test]
 fn a_stream_begins_with_an_event() {
