overload: tell a slow own link from slow peers

A call that timed out logged neither the lag of the event loop nor whether other calls were slow too, and the bytes per second were those of the larger direction only, so that the link, the loop and the peers could not be told apart as causes.

The exchanges of loads, which peers answer at once, now give the delay at the own VM: the round trip of the fastest peer, if three or more were asked. It is logged once a second while it is high, with the lag, both directions of the link and the age of the configuration and of the list of servers, and with each member that is passed over and each store call that timed out.

--- a/src/coordination/overload.rs
+++ b/src/coordination/overload.rs
@@ -10,6 +10,7 @@
 pub mod late_timeouts;
 pub mod lateness;
 pub mod link_use;
+pub mod own_delay;
 pub mod peer_load;
 pub mod refusing;
 pub mod rotation;
--- a/src/coordination/overload/link_use.rs
+++ b/src/coordination/overload/link_use.rs
@@ -21,6 +21,22 @@
     pub sent: u64,
 }
 
+/// Bytes per second.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Rates {
+    /// Received.
+    pub received: f64,
+    /// Sent.
+    pub sent: f64,
+}
+
+impl Rates {
+    /// The rate of the direction that is used more.
+    pub fn max(&self) -> f64 {
+        self.received.max(self.sent)
+    }
+}
+
 /// Recent use of the link.
 #[derive(Debug, Default)]
 pub struct LinkUse {
@@ -41,38 +57,40 @@
         }
     }
 
-    /// Bytes per second in the direction that is used more.
+    /// Bytes per second in each direction.
     ///
     /// ```
     /// use std::time::Duration;
-    /// use fulmarproxy::coordination::overload::link_use::{LinkUse, Sample};
+    /// use fulmarproxy::coordination::overload::link_use::{LinkUse, Rates, Sample};
     /// let mut link = LinkUse::default();
-    /// assert_eq!(link.rate(), 0.0);
+    /// assert_eq!(link.rates(), Rates::default());
     /// for tick in 0..20 {
     ///     let sample = Sample { received: 10_000 * tick, sent: 50_000 * tick };
     ///     link.record(sample, Duration::from_millis(100 * tick));
     /// }
-    /// assert_eq!(link.rate(), 500_000.0);
+    /// assert_eq!(link.rates(), Rates { received: 100_000.0, sent: 500_000.0 });
     /// // Relative to the load at which the link counts as fully used, 60 % of 1.25 MB/s.
     /// assert!((link.load(1_250_000) - 0.667).abs() < 0.001);
     /// ```
-    pub fn rate(&self) -> f64 {
+    pub fn rates(&self) -> Rates {
         let (Some((start, first)), Some((end, last))) = (self.samples.front(), self.samples.back())
         else {
-            return 0.0;
+            return Rates::default();
         };
         let elapsed = end.saturating_sub(*start).as_secs_f64();
         if elapsed <= 0.0 {
-            return 0.0;
+            return Rates::default();
+        }
+        let rate = |first: u64, last: u64| last.saturating_sub(first) as f64 / elapsed;
+        Rates {
+            received: rate(first.received, last.received),
+            sent: rate(first.sent, last.sent),
         }
-        let received = last.received.saturating_sub(first.received);
-        let sent = last.sent.saturating_sub(first.sent);
-        received.max(sent) as f64 / elapsed
     }
 
     /// Load of a link that carries this many bytes per second: 1 when it counts as fully used.
     pub fn load(&self, bandwidth: u64) -> f64 {
-        self.rate() / (bandwidth.max(1) as f64 * FULL_USE)
+        self.rates().max() / (bandwidth.max(1) as f64 * FULL_USE)
     }
 }
 
@@ -97,6 +115,7 @@
             sent: 0,
         };
         link.record(sample, Duration::from_secs(200));
-        assert!(link.rate() < 10_000.0, "{}", link.rate());
+        let rate = link.rates().max();
+        assert!(rate < 10_000.0, "{rate}");
     }
 }
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -29,7 +29,7 @@
     },
     platform,
     state::{deployment, name, server},
-    transport::{h1::connection_pool, timers},
+    transport::{h1::connection_pool, round_trips, timers},
 };
 
 /// Backend servers that the store lists, as last read.
@@ -77,6 +77,8 @@
     pub incarnation: u64,
     /// Clock and timeouts.
     pub timers: timers::Timers,
+    /// Round trips of all calls, and the delay at the own VM that they show.
+    pub round_trips: Rc<round_trips::RoundTrips>,
     /// Client of the platform's store.
     pub store: platform::store::Store,
     /// Chooses whether store calls go directly or through a carrier.
@@ -192,13 +194,15 @@
         let callers = caller_slots::CallerSlots::new(plan.callers, timers.clone());
         let plain_queues = plain_queues::PlainQueues::new(timers.clone());
         let route = Rc::new(RefCell::new(store_route::StoreRoute::new(settings.store)));
-        let store =
-            platform::store::Store::new(store_route_callbacks(&route, &timers), timers.clone());
+        let round_trips = Rc::new(round_trips::RoundTrips::new(timers.clone()));
+        let callbacks = store_route_callbacks(&route, &timers);
+        let store = platform::store::Store::over(callbacks, timers.clone(), round_trips.clone());
         let incarnation = fastrand::u64(1..);
         Rc::new(Self {
             settings: RefCell::new(settings),
             incarnation,
             timers,
+            round_trips,
             store,
             store_route: route,
             deployment: RefCell::default(),
--- a/src/gateway/overload.rs
+++ b/src/gateway/overload.rs
@@ -14,7 +14,7 @@
 use crate::{
     code::Code,
     coordination::overload::{
-        batching, lag, late_timeouts, link_use, peer_load, refusing, rotation,
+        batching, lag, late_timeouts, link_use, own_delay, peer_load, refusing, rotation,
     },
     gateway::{admission::Admitted, core, peer_rpc, refusal::Refusal},
     transport::traffic,
@@ -23,6 +23,10 @@
 /// Minimum time between two log lines of one kind.
 const LOG_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Minimum time between two log lines about a high delay at the own VM, well under the time within which a
+/// configuration must be in force.
+const DELAY_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Largest extension of the time between two exchanges of loads, as a fraction of it.
 const MAX_JITTER: f64 = 0.2;
 
@@ -47,6 +51,8 @@
     is_pausing: Cell<bool>,
     /// Time of the last log line about collecting events.
     collecting_logged_at: Cell<Option<Duration>>,
+    /// Time of the last log line about a high delay at the own VM.
+    own_delay_logged_at: Cell<Option<Duration>>,
     /// Time of the last log line about refusing requests.
     refusing_logged_at: Cell<Option<Duration>>,
 }
@@ -123,12 +129,36 @@
             measuring.timers.sleep(lag::TICK).await;
             let now = measuring.now();
             measuring.overload.record_tick(now.saturating_sub(due), now);
+            update_own_delay(&measuring, now);
             update_rotation(&measuring, now);
             exchange_loads(&measuring);
         }
     });
 }
 
+/// Computes the delay at the own VM, and logs a high one with what tells its causes apart: the link, the event
+/// loop, or peers.
+fn update_own_delay(gw: &core::Gateway, now: Duration) {
+    let own_delay = gw.round_trips.update();
+    let overload = &gw.overload;
+    let logged_at = &overload.own_delay_logged_at;
+    if own_delay < own_delay::SLOW || !is_log_due(logged_at, DELAY_LOG_INTERVAL, now) {
+        return;
+    }
+    let rates = overload.link_use.borrow().rates();
+    let age_ms = |confirmed_at: Duration| now.saturating_sub(confirmed_at).as_millis() as u64;
+    tracing::info!(
+        own_delay_ms = own_delay.as_millis() as u64,
+        lag_ms = overload.lag().as_millis() as u64,
+        received_per_s = rates.received as u64,
+        sent_per_s = rates.sent as u64,
+        config_age_ms = age_ms(gw.config_confirmed_at.get()),
+        servers_age_ms = age_ms(gw.servers_confirmed_at.get()),
+        in_flight = gw.in_flight.get(),
+        "overload: calls to all peers are slow"
+    );
+}
+
 /// Decides whether the gateway is in rotation, from its load and from the loads of others.
 pub fn update_rotation(gw: &Rc<core::Gateway>, now: Duration) {
     let overload = &gw.overload;
@@ -153,14 +183,18 @@
     };
     announce(gw, now);
     let load = signs.load;
-    let bytes_per_s = overload.link_use.borrow().rate() as u64;
+    let rates = overload.link_use.borrow().rates();
+    let (received_per_s, sent_per_s) = (rates.received as u64, rates.sent as u64);
+    let own_delay_ms = gw.round_trips.delay().as_millis() as u64;
     let lag_ms = overload.lag().as_millis() as u64;
     match change {
         rotation::Change::Left => {
             counter!("fulmar_gateway_rotation_exits_total").increment(1);
             tracing::info!(
                 load,
-                bytes_per_s,
+                received_per_s,
+                sent_per_s,
+                own_delay_ms,
                 lag_ms,
                 room,
                 known,
@@ -172,9 +206,12 @@
             let after_ms = after.as_millis() as u64;
             tracing::info!(
                 load,
-                bytes_per_s,
+                received_per_s,
+                sent_per_s,
+                own_delay_ms,
                 lag_ms,
                 room,
+                known,
                 after_ms,
                 "overload: takes new connections again"
             );
@@ -201,7 +238,11 @@
     let overload = &gw.overload;
     gauge!("fulmar_gateway_lag_seconds").set(overload.lag().as_secs_f64());
     gauge!("fulmar_gateway_load").set(overload.load(gw.link()));
-    gauge!("fulmar_gateway_link_bytes_per_second").set(overload.link_use.borrow().rate());
+    let rates = overload.link_use.borrow().rates();
+    for (direction, rate) in [("received", rates.received), ("sent", rates.sent)] {
+        gauge!("fulmar_gateway_link_bytes_per_second", "direction" => direction).set(rate);
+    }
+    gauge!("fulmar_gateway_own_delay_seconds").set(gw.round_trips.delay().as_secs_f64());
     gauge!("fulmar_gateway_out_of_rotation").set(f64::from(u8::from(overload.is_out())));
     gauge!("fulmar_gateway_refusal_pressure").set(overload.refusing.borrow().pressure());
     gauge!("fulmar_gateway_room").set(overload.room(gw.now()));
@@ -232,7 +273,7 @@
 
 /// Logs that events are collected, unless it was logged a moment ago.
 fn log_collecting(gw: &core::Gateway, lag: Duration, pause: Duration) {
-    if !is_log_due(&gw.overload.collecting_logged_at, gw.now()) {
+    if !is_log_due(&gw.overload.collecting_logged_at, LOG_INTERVAL, gw.now()) {
         return;
     }
     let (lag_ms, pause_ms) = (lag.as_millis() as u64, pause.as_millis() as u64);
@@ -246,8 +287,8 @@
 }
 
 /// Whether a log line of a kind may be written; notes the time if it may.
-fn is_log_due(logged_at: &Cell<Option<Duration>>, now: Duration) -> bool {
-    let is_due = logged_at.get().is_none_or(|at| now >= at + LOG_INTERVAL);
+fn is_log_due(logged_at: &Cell<Option<Duration>>, interval: Duration, now: Duration) -> bool {
+    let is_due = logged_at.get().is_none_or(|at| now >= at + interval);
     if is_due {
         logged_at.set(Some(now));
     }
@@ -321,7 +362,7 @@
     let reason = refusing.decide(&new, lag, room, fastrand::f64())?;
     counter!("fulmar_gateway_busy_refusals_total", "reason" => reason.to_string()).increment(1);
     let lag_ms = lag.as_millis() as u64;
-    if is_log_due(&overload.refusing_logged_at, now) {
+    if is_log_due(&overload.refusing_logged_at, LOG_INTERVAL, now) {
         let limit_ms = refusing.limit().map(|limit| limit.as_millis() as u64);
         let (pressure, in_flight) = (refusing.pressure(), gw.in_flight.get());
         tracing::info!(
--- a/src/gateway/peer_rpc.rs
+++ b/src/gateway/peer_rpc.rs
@@ -235,7 +235,10 @@
     peer: SocketAddr,
     report: peer_load::Report,
 ) -> Result<peer_load::Report, String> {
-    send_in_time(gw, peer, &LoadCall::Load(report)).await
+    let started = gw.now();
+    let reported = send_in_time(gw, peer, &LoadCall::Load(report)).await;
+    gw.round_trips.record_probe(peer, started);
+    reported
 }
 
 async fn send_in_time<T: DeserializeOwned>(
--- a/src/gateway/watching.rs
+++ b/src/gateway/watching.rs
@@ -195,7 +195,10 @@
                     let retry_ms = until.saturating_sub(gw.now()).as_millis() as u64;
                     counter!("fulmar_gateway_leader_failures_total", "reason" => failure.to_string())
                         .increment(1);
-                    tracing::info!(%member, reason = %failure, cause, retry_ms, "watches: passed over a member");
+                    let own_delay_ms = gw.round_trips.delay().as_millis() as u64;
+                    let lag_ms = gw.overload.lag().as_millis() as u64;
+                    tracing::info!(%member, reason = %failure, cause, retry_ms, own_delay_ms, lag_ms,
+                                   "watches: passed over a member");
                 }
             }
         }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -6,6 +6,7 @@
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
+    rc::Rc,
     time::Duration,
 };
 
@@ -22,7 +23,7 @@
     },
     transport::{
         h1::{body, conn, connection_pool, dial, fault, head},
-        timers,
+        round_trips, timers,
     },
 };
 
@@ -168,6 +169,7 @@
 pub struct Store {
     route: RouteCallbacks,
     timers: timers::Timers,
+    round_trips: Rc<round_trips::RoundTrips>,
     pool: RefCell<connection_pool::ConnectionPool>,
     eras: RefCell<era::Eras>,
     response_time: Cell<Duration>,
@@ -238,9 +240,20 @@
 impl Store {
     /// Creates a client that sends its calls to the addresses that `route` chooses.
     pub fn new(route: RouteCallbacks, timers: timers::Timers) -> Self {
+        let round_trips = Rc::new(round_trips::RoundTrips::new(timers.clone()));
+        Self::over(route, timers, round_trips)
+    }
+
+    /// As [`Self::new`], for a process that records the round trips of its other calls too.
+    pub fn over(
+        route: RouteCallbacks,
+        timers: timers::Timers,
+        round_trips: Rc<round_trips::RoundTrips>,
+    ) -> Self {
         Self {
             route,
             timers,
+            round_trips,
             pool: RefCell::default(),
             eras: RefCell::default(),
             response_time: Cell::default(),
@@ -533,6 +546,8 @@
                     self.pool.borrow_mut().close_all(address);
                     let late = self.timers.now().saturating_sub(started + timeout);
                     counts = self.counts_timeout(address, late);
+                    let own_delay_ms = self.round_trips.delay().as_millis() as u64;
+                    tracing::info!(call, %address, own_delay_ms, ?late, "store: a call timed out");
                     let cause = format!("no response within {timeout:?}");
                     Err(AttemptError::NoResponse(cause))
                 }
@@ -549,6 +564,9 @@
             tracing::debug!(call, path, %address, ?took, refused, "store: call ended");
             let answered = outcome.is_ok() && !refused;
             if answered {
+                if call != WATCH {
+                    self.round_trips.record_answer(address, started);
+                }
                 self.late_timeouts.borrow_mut().record_answer(address);
             }
             if answered || counts {
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -10,6 +10,7 @@
 pub mod h1;
 pub mod handshake;
 pub mod http;
+pub mod round_trips;
 pub mod router_rpc;
 pub mod runtime;
 pub mod signals;
