tests: a gateway behind a full link acts on old knowledge

Five gateways, one of which reaches its callers, its peers, the store and its backend servers over one link of 80 kB/s with one queue in each direction, which 90 callers keep 3.5 s long. A server leaves, or a route moves; 2 s after the acknowledgement no request may go the old way.

--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -10,6 +10,7 @@
 pub mod proxy;
 pub mod seeds;
 pub mod servers;
+pub mod slow_link;
 pub mod virtual_engine;
 
 use std::{
--- a/tests/gateway_world/mod.rs
+++ b/tests/gateway_world/mod.rs
@@ -185,11 +185,21 @@
         vm: &str,
         store: SocketAddr,
     ) -> (Rc<core::Gateway>, SocketAddr) {
-        let (gw, _, fleet) = start_gateway(vm, store, self.executor.clone()).await;
-        self.until(|_| gw.not_ready_reason().is_none()).await;
+        let (gw, _, fleet) = self.start_entry(vm, store).await;
         (gw, fleet)
     }
 
+    /// As [`Self::start_member`]; returns its address for callers and its fleet address.
+    pub async fn start_entry(
+        &self,
+        vm: &str,
+        store: SocketAddr,
+    ) -> (Rc<core::Gateway>, SocketAddr, SocketAddr) {
+        let started = start_gateway(vm, store, self.executor.clone()).await;
+        self.until(|_| started.0.not_ready_reason().is_none()).await;
+        started
+    }
+
     /// Waits until a condition holds.
     pub async fn until(&self, condition: impl Fn(&Self) -> bool) {
         while !condition(self) {
