crashes: don't fill a link with counts that nobody takes

Callers of a gateway with a slow link got no answer for seconds after backend servers had crashed: the gateway sent 1.2 MB/s of the 1.25 MB/s of its link with not one request in flight.

Cause: a gateway tells the others which requests were running at crashes. One that did not answer within 0.25 s was sent the same counts again at once, on a new connection, whenever another count had changed; 50 to 74 such calls a second failed at this gateway. Each answer repeated up to 40 counts that the other one knew, although only a gateway that starts needs them. The class: a slow link makes more traffic of its own.

A gateway that does not answer is now told again after 0.5 s, doubled up to 4 s, without delay for the others; and only a gateway that asks, by sending no counts, is answered with those that are known.

--- a/src/coordination/crashes.rs
+++ b/src/coordination/crashes.rs
@@ -4,6 +4,8 @@
 //! runs alone, where another crash harms no other request; after two it is refused until the last
 //! crash is [`CRASH_RETENTION`] old.
 
+pub mod resending;
+
 use std::{collections::BTreeMap, time::Duration};
 
 use serde::{Deserialize, Serialize};
--- a/src/gateway/crash_notes.rs
+++ b/src/gateway/crash_notes.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::RefCell, collections::HashMap, time::Duration};
 
-use crate::coordination::{suspect, suspects};
+use crate::coordination::{crashes::resending, suspect, suspects};
 
 /// Maximum number of counts in one message, which must not exceed the size limit of messages.
 pub const MAX_REPORTS: usize = 40;
@@ -14,6 +14,8 @@
     pub suspects: RefCell<suspects::Suspects>,
     /// By `vm/incarnation`: the number of the last change that the gateway has been told of.
     pub told: RefCell<HashMap<String, u64>>,
+    /// Gateways that did not take the counts.
+    pub resending: RefCell<resending::Resending>,
     /// Notified when a count has changed here.
     pub changed: event_listener::Event,
     /// Notified when a request that was running at crashes has ended or may have been cleared.
--- a/src/gateway/crash_reports.rs
+++ b/src/gateway/crash_reports.rs
@@ -22,7 +22,7 @@
 /// Time limit for the connection that tells whether a server still runs.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Interval at which counts are sent again to gateways that did not receive them.
+/// Interval at which counts that did not fit into one message are sent, and reads of them repeated.
 const RESEND_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Longest delay, per gateway in the fleet, after which counts are sent. Many gateways see the same
@@ -264,17 +264,31 @@
     gw.spawn(async move {
         loop {
             let changed = telling.crash_notes.changed.listen();
-            if tell_peers(&telling).await {
-                changed.await;
+            let is_complete = tell_peers(&telling).await;
+            let has_changed = match is_complete {
+                true => {
+                    changed.await;
+                    true
+                }
+                false => {
+                    let wait = resend_wait(&telling);
+                    telling.timers.within(wait, changed).await.is_some()
+                }
+            };
+            if has_changed {
                 let most = TELL_DELAY * u32::try_from(telling.router_count()).unwrap_or(u32::MAX);
                 telling.timers.sleep(most.mul_f64(fastrand::f64())).await;
-            } else {
-                telling.timers.within(RESEND_INTERVAL, changed).await;
             }
         }
     });
 }
 
+/// Time until counts may be sent to a gateway that does not know them yet.
+fn resend_wait(gw: &core::Gateway) -> Duration {
+    let next_due = gw.crash_notes.resending.borrow().next_due();
+    next_due.map_or(RESEND_INTERVAL, |due| due.saturating_sub(gw.now()))
+}
+
 async fn read_refused(gw: &core::Gateway) -> Result<(), store::StoreError> {
     let read = gw.store.range(PREFIX, true).await?;
     let refused = read.items.iter().filter_map(|item| {
@@ -287,7 +301,7 @@
     Ok(())
 }
 
-/// Sends counts to the gateways that don't know them yet; returns whether all know them now.
+/// Sends counts to the gateways that don't know them yet and may be told now; returns whether all know them.
 async fn tell_peers(gw: &Rc<core::Gateway>) -> bool {
     let reports = &gw.crash_notes;
     let last = reports.suspects.borrow().last_change();
@@ -298,16 +312,25 @@
     let mut told = reports.told.borrow().clone();
     told.retain(|holder, _| peers.contains_key(holder));
     let change_told = |holder: &String| told.get(holder).copied().unwrap_or(0);
+    {
+        let mut resending = reports.resending.borrow_mut();
+        resending.retain(|holder| peers.contains_key(holder));
+    }
+    let is_due = |holder: &str| reports.resending.borrow().is_due(holder, gw.now());
     let behind = peers
         .iter()
-        .filter(|(holder, _)| change_told(holder) < last);
+        .filter(|(holder, _)| change_told(holder) < last && is_due(holder));
     let tell = async |(holder, address): (&String, &SocketAddr)| {
         let (changes, covered) = {
             let suspects = reports.suspects.borrow();
             suspects.changes_after(change_told(holder), crash_notes::MAX_REPORTS, gw.now())
         };
         if !changes.is_empty() {
-            send(gw, *address, changes).await?;
+            let answered = send(gw, *address, changes).await;
+            let mut resending = reports.resending.borrow_mut();
+            resending.record(holder, answered.is_some(), gw.now());
+            drop(resending);
+            answered?;
         }
         Some((holder.clone(), covered))
     };
@@ -316,11 +339,11 @@
     for peers in behind.chunks(TOLD_AT_A_TIME) {
         answers.extend(futures::future::join_all(peers.iter().copied().map(&tell)).await);
     }
-    let is_complete = answers.iter().all(Option::is_some);
     told.extend(answers.into_iter().flatten());
-    let is_current = told.values().all(|change| *change >= last);
+    let is_told = |holder: &String| told.get(holder).is_some_and(|change| *change >= last);
+    let is_complete = peers.keys().all(is_told);
     *reports.told.borrow_mut() = told;
-    is_complete && is_current
+    is_complete
 }
 
 /// Sends counts to a gateway and returns those that it knows; `None` when it did not answer.
--- a/src/gateway/peer_serving.rs
+++ b/src/gateway/peer_serving.rs
@@ -93,7 +93,11 @@
     match &call {
         Call::Status => return Some((status(gw).to_string(), 0)),
         Call::Crashes(reports) => {
-            let known = gw.crash_notes.reports(gw.now());
+            // Only a gateway that has started asks for what others know.
+            let known = match reports.is_empty() {
+                true => gw.crash_notes.reports(gw.now()),
+                false => Vec::new(),
+            };
             gw.crash_notes.merge(reports, gw.now());
             let body = serde_json::to_string(&known).ok()?;
             return Some((body, 0));
