rotation: don't return with more load than the link carries

A gateway that had left the rotation came back at a load of 1.15 to 1.36 and stayed for half a minute, so that most requests at it were late or failed.

Cause: it returned as soon as fewer than a quarter of two or more others had room, whatever its own load was. While its link is full it hears few others, and those that get through are the busy ones. A load of 0.7 counts as no room.

Now it returns for that reason only below a load of 1.

--- a/src/coordination/overload/rotation.rs
+++ b/src/coordination/overload/rotation.rs
@@ -23,6 +23,9 @@
 /// Time after a return within which leaving again counts as soon.
 const REPEAT_TIME: Duration = Duration::from_secs(30);
 
+/// Load from which on a gateway leaves. It does not return with more, however busy others are.
+const FULL_LOAD: f64 = 1.0;
+
 /// Load below which a gateway returns.
 const RETURN_LOAD: f64 = 0.5;
 
@@ -121,7 +124,8 @@
             self.changing_since = None;
             return self.out_since.is_none().then(|| self.leave(now));
         }
-        let others_are_full = signs.known >= MIN_KNOWN && signs.room < MIN_ROOM_TO_STAY;
+        let others_are_full =
+            signs.known >= MIN_KNOWN && signs.room < MIN_ROOM_TO_STAY && signs.load < FULL_LOAD;
         let wants_change = match self.out_since {
             None => may_leave(&signs),
             Some(_) => signs.load < RETURN_LOAD || others_are_full,
@@ -176,7 +180,7 @@
 }
 
 fn may_leave(signs: &Signs) -> bool {
-    let is_too_busy = signs.load >= 1.0;
+    let is_too_busy = signs.load >= FULL_LOAD;
     let others_have_room = signs.known >= MIN_KNOWN && signs.room >= MIN_ROOM;
     is_too_busy
         && others_have_room
@@ -270,10 +274,48 @@
     fn a_gateway_returns_when_the_others_have_no_room() {
         let mut rotation = Rotation::default();
         let left = play(&mut rotation, BUSY, 0, 30).unwrap();
-        let signs = Signs { room: 0.2, ..BUSY };
+        let signs = Signs {
+            room: 0.2,
+            load: 0.9,
+            ..BUSY
+        };
         assert_eq!(play(&mut rotation, signs, left + 1, 100), Some(left + 30));
     }
 
+    /// Guards against a gateway that returns to more callers than its link carries.
+    #[test]
+    fn a_gateway_stays_out_while_its_own_load_is_full() {
+        let mut rotation = Rotation::default();
+        let left = play(&mut rotation, BUSY, 0, 30).unwrap();
+        let signs = Signs { room: 0.2, ..BUSY };
+        assert_eq!(play(&mut rotation, signs, left + 1, 100), None);
+        let signs = Signs { load: 0.9, ..signs };
+        assert_eq!(
+            play(&mut rotation, signs, left + 101, 100),
+            Some(left + 106)
+        );
+    }
+
+    /// Guards against a gateway that takes callers while it can serve none.
+    #[test]
+    fn a_gateway_with_stale_knowledge_is_out() {
+        let mut rotation = Rotation::default();
+        let stale = Signs {
+            is_stale: true,
+            room: 0.0,
+            known: 0,
+            load: 0.2,
+            ..BUSY
+        };
+        assert_eq!(play(&mut rotation, stale, 0, 10), Some(0));
+        assert_eq!(play(&mut rotation, stale, 1, 100), None);
+        let signs = Signs {
+            is_stale: false,
+            ..stale
+        };
+        assert!(play(&mut rotation, signs, 101, 100).is_some());
+    }
+
     /// Guards against a gateway that returns again and again to the same callers, and against one that stays
     /// out longer and longer for good.
     #[test]
