front: answer the requests that are cut when the process exits

Callers whose requests were taken within 2.5 s of a SIGTERM, on routes with timeouts longer than the grace, saw their connections closed without a byte when the process exited (LOST), bookings among them.

Cause: the drain ends at the exit time whether or not requests are in flight, and nothing told them. Now they are notified: one that was not sent gets 503 (not run), one that was sent and has no answer yet gets 502 (unknown), and a response that has begun is broken off as before. Their tokens are settled before the ledger is closed.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -156,8 +156,7 @@
         .get()
         .is_some_and(|draining| !draining.accepts(route.timeout, received))
     {
-        let message = "this router is leaving";
-        return Err(Refusal::new(Code::Draining, message).retry_after(DRAINING_RETRY_AFTER));
+        return Err(draining_refusal());
     }
     let mut workspace = None;
     if !deployment.workspaces.is_empty() && !route.is_public {
@@ -198,6 +197,11 @@
     Ok(admitted)
 }
 
+/// Refusal of a request that was not sent, as this router is shutting down.
+pub fn draining_refusal() -> Refusal {
+    Refusal::new(Code::Draining, "this router is leaving").retry_after(DRAINING_RETRY_AFTER)
+}
+
 fn find_workspace(
     deployment: &deployment::Deployment,
     headers: &head::Headers,
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -179,6 +179,8 @@
     pub router_count: Cell<router_count::RouterCount>,
     /// Notifies connections without a request that they must close, because the process stops.
     pub shutdown_event: event_listener::Event,
+    /// Notifies requests that they must end, because the process is about to exit.
+    pub exit_event: event_listener::Event,
     executor: Rc<smol::LocalExecutor<'static>>,
 }
 
@@ -251,6 +253,7 @@
             servers_confirmed_at: Cell::default(),
             router_count: Cell::default(),
             shutdown_event: event_listener::Event::new(),
+            exit_event: event_listener::Event::new(),
             executor,
         })
     }
@@ -390,6 +393,17 @@
         self.draining.get().is_some()
     }
 
+    /// Waits until the process, which was told to stop, is about to exit.
+    pub async fn exiting(&self) {
+        loop {
+            let exiting = self.exit_event.listen();
+            if self.draining.get().is_some_and(|it| it.is_closed) {
+                return;
+            }
+            exiting.await;
+        }
+    }
+
     /// Reason why the gateway is not ready for callers; `None` when it is ready.
     pub fn not_ready_reason(&self) -> Option<&'static str> {
         if self.is_draining() {
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -94,11 +94,12 @@
         is_closed,
         ..draining
     }));
+    gw.exit_event.notify(usize::MAX);
     let in_flight = gw.in_flight.get();
     tracing::info!(in_flight, "front: drained");
 }
 
-/// Waits until requests that arrived after draining have been refused.
+/// Waits until the requests that were still in flight, or arrived since, have been answered.
 pub async fn finish_late_requests(gw: &core::Gateway) {
     let end = gw.now() + LINGER_TIMEOUT;
     while gw.in_flight.get() > 0 && gw.now() < end {
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -137,7 +137,31 @@
     if let Some(refusal) = overload::stale_refusal(gw) {
         return Err(refusal.into());
     }
-    let mut req = admission::admit(gw, head, body, received)?;
+    let req = admission::admit(gw, head, body, received)?;
+    let exiting = async {
+        gw.exiting().await;
+        Err(admission::draining_refusal().into())
+    };
+    let preparing = prepare(gw, req, log);
+    let prepared = smol::future::or(preparing, exiting).await?;
+    forward(gw, caller, log, prepared, close).await
+}
+
+/// A request that may be sent.
+struct Prepared {
+    req: Admitted,
+    reservation: Option<reserving::Reservation>,
+    /// Hash under which the origin of its stream is noted, and the origin.
+    stream: (Option<u64>, Origin),
+}
+
+/// Waits until an admitted request may be sent: where its stream began is known, its service has room, and its
+/// tokens are reserved.
+async fn prepare(
+    gw: &Rc<core::Gateway>,
+    mut req: Admitted,
+    log: &request_log::RequestLog,
+) -> Result<Prepared, RequestError> {
     if log.is_sampled() {
         log_admitted(gw, log, &req);
     }
@@ -147,14 +171,34 @@
     if crash_reports::refuses(gw, &req.outgoing.keys) {
         return Err(request_error::crash_refusal().into());
     }
-    let (key, origin) = stream_origin(gw, &mut req, log).await?;
+    let stream = stream_origin(gw, &mut req, log).await?;
     plain_room::enter(gw, &mut req, log).await?;
     let reservation = reserve_tokens(gw, &req, log).await?;
     if let (Some(slot), Some(_)) = (&req.slot, &reservation) {
         slot.forbid_waits();
     }
-    let waited = gw.now().saturating_sub(received);
+    let waited = gw.now().saturating_sub(req.received);
     histogram!("fulmar_gateway_budget_seconds").record(waited.as_secs_f64());
+    Ok(Prepared {
+        req,
+        reservation,
+        stream,
+    })
+}
+
+/// Sends a request to servers and relays the response, until the route's timeout passes or the process exits.
+async fn forward(
+    gw: &Rc<core::Gateway>,
+    caller: &mut conn::Conn,
+    log: &request_log::RequestLog,
+    prepared: Prepared,
+    close: bool,
+) -> Result<(), RequestError> {
+    let Prepared {
+        req,
+        reservation,
+        stream: (key, origin),
+    } = prepared;
     let limit = req.cutoff().saturating_sub(gw.now());
     let engine = req.service.engine.as_ref();
     let per_event = engine.map_or(1, |engine| engine.tokens_per_event);
@@ -168,9 +212,15 @@
     let mut stream = relay::EventStream::new(gw, meter, key, origin, received, max_events);
     let mut failure = None;
     let work = forwarding::run_attempts(gw, caller, &req, log, &mut stream, &mut failure, close);
-    let ended = match gw.timers.within(limit, work).await {
-        Some(ended) => ended,
-        None => Err(timeout_error(&mut stream)),
+    let work = async { Some(gw.timers.within(limit, work).await) };
+    let exiting = async {
+        gw.exiting().await;
+        None
+    };
+    let ended = match smol::future::or(work, exiting).await {
+        Some(Some(ended)) => ended,
+        Some(None) => Err(timeout_error(&mut stream)),
+        None => Err(exit_error(&mut stream)),
     };
     if let Some(slot) = &req.slot {
         slot.end(None);
@@ -285,6 +335,16 @@
     }
 }
 
+/// Error for a request that has not ended when the process exits.
+fn exit_error(stream: &mut relay::EventStream) -> RequestError {
+    let may_have_run = stream.meter.may_have_run();
+    stream.meter.record_send_result(may_have_run);
+    match may_have_run {
+        true => request_error::final_error(stream, "this router stops before the server answered"),
+        false => admission::draining_refusal().into(),
+    }
+}
+
 /// Logs the data on which the admission of a request was based.
 fn log_admitted(gw: &core::Gateway, log: &request_log::RequestLog, req: &Admitted) {
     let workspace = req.outgoing.workspace.as_ref();
