--- a/tests/common/placed_fleet.rs
+++ b/tests/common/placed_fleet.rs
@@ -83,7 +83,12 @@
 
 /// Starts a gateway and waits until it is ready; returns it with its address for callers.
 pub fn start_gateway(vm: &str, store: &str) -> (Placed, String) {
-    let mut gateway = Placed::start("gateway", vm, store);
+    start_gateway_limited(vm, store, "")
+}
+
+/// As [`start_gateway`], with the lines `limits` at the end of the settings.
+pub fn start_gateway_limited(vm: &str, store: &str, limits: &str) -> (Placed, String) {
+    let mut gateway = Placed::start_limited("gateway", vm, store, limits);
     gateway.pass_log_on(std::env::var("FULMAR_DRILL_LOG").is_ok());
     let probe = "GET /readiness HTTP/1.1\r\nHost: g\r\n\r\n";
     let ready = gateway.address("ready");
--- a/tests/endless_answers.rs
+++ b/tests/endless_answers.rs
@@ -6,16 +6,18 @@
 mod gateway_world;
 
 use std::{
+    collections::HashSet,
     fs,
     io::{BufRead, BufReader, Write},
     net::{TcpListener, TcpStream},
+    sync::atomic::{AtomicBool, Ordering},
     thread,
     time::Duration,
 };
 
 use common::{
     placed::Placed,
-    placed_fleet::{call, put, start_gateway, start_store},
+    placed_fleet::{call, put, start_gateway_limited, start_store},
 };
 use gateway_world::{configuration, request_text};
 use serde_json::json;
@@ -127,6 +129,10 @@
 
 impl Fleet {
     fn start(case: &'static Case, is_slow: bool) -> Self {
+        Self::start_limited(case, is_slow, "")
+    }
+
+    fn start_limited(case: &'static Case, is_slow: bool, limits: &str) -> Self {
         let (store_process, store) = start_store();
         let config = configuration(1, 4_000_000, 700).to_string();
         put(&store, "op/config", &config);
@@ -135,7 +141,7 @@
                                "zone": "a", "slots": 64, "state": "ready", "version": "v1", "sequence": 1});
             put(&store, &format!("servers/i-{number}"), &entry.to_string());
         }
-        let (gateway, front) = start_gateway("entry-1", &store);
+        let (gateway, front) = start_gateway_limited("entry-1", &store, limits);
         Self {
             gateway,
             front,
@@ -158,6 +164,35 @@
     }
 }
 
+impl Fleet {
+    /// Resident memory of the gateway, and the bytes that wait in the kernel buffers of its sockets.
+    fn memory(&self) -> (u64, u64) {
+        let dir = format!("/proc/{}", self.gateway.child.id());
+        let status = fs::read_to_string(format!("{dir}/status")).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let resident = line.unwrap().trim().trim_end_matches(" kB");
+        let resident: u64 = resident.parse().unwrap();
+        let sockets = fs::read_dir(format!("{dir}/fd")).unwrap().flatten();
+        let sockets = sockets.filter_map(|fd| fs::read_link(fd.path()).ok());
+        let sockets: HashSet<String> = sockets
+            .filter_map(|link| {
+                let inode = link.to_str()?.strip_prefix("socket:[")?.strip_suffix(']')?;
+                Some(inode.to_owned())
+            })
+            .collect();
+        let table = fs::read_to_string(format!("{dir}/net/tcp")).unwrap();
+        let queued = table.lines().skip(1).filter_map(|line| {
+            let fields: Vec<&str> = line.split_whitespace().collect();
+            let (tx, rx) = fields[4].split_once(':')?;
+            let bytes = |text| u64::from_str_radix(text, 16).ok();
+            sockets
+                .contains(fields[9])
+                .then_some(bytes(tx)? + bytes(rx)?)
+        });
+        (resident * 1024, queued.sum())
+    }
+}
+
 /// Whether a caller takes a response for a complete success.
 fn is_whole(text: &str) -> bool {
     let (head, body) = text.split_once("\r\n\r\n").unwrap_or_default();
@@ -205,3 +240,51 @@
         assert!(peak < 160 * 1024, "{name}: {peak} KiB");
     }
 }
+
+/// Memory of the smallest VM in bytes, and the callers that it serves at once.
+const SMALLEST_VM: u64 = 120_000_000;
+const CALLERS: usize = 500;
+
+/// Guards against kernel buffers of many servers that together with what is held exceed the memory of the
+/// smallest VM.
+#[test]
+fn hundreds_of_answers_without_end_stay_within_the_memory_of_the_smallest_vm() {
+    for name in ["an event", "a body without length"] {
+        let case = CASES.iter().find(|case| case.name == name).unwrap();
+        let limits = "[limits]\nmemory_mb = 120\nmax_fds = 3075\n";
+        let fleet = Fleet::start_limited(case, false, limits);
+        let is_over = AtomicBool::new(false);
+        thread::scope(|scope| {
+            let watching = scope.spawn(|| {
+                let mut peak = (0, 0);
+                while !is_over.load(Ordering::Relaxed) {
+                    let now = fleet.memory();
+                    peak = if now.0 + now.1 > peak.0 + peak.1 {
+                        now
+                    } else {
+                        peak
+                    };
+                    thread::sleep(Duration::from_millis(20));
+                }
+                peak
+            });
+            let calls: Vec<_> = (0..CALLERS)
+                .map(|number| {
+                    let path = ["/look/1", "/draft/1"][number % 2];
+                    let fleet = &fleet;
+                    scope.spawn(move || assert!(!is_whole(&fleet.send(path)), "{name}"))
+                })
+                .collect();
+            for call in calls {
+                call.join().unwrap();
+            }
+            is_over.store(true, Ordering::Relaxed);
+            let (resident, queued) = watching.join().unwrap();
+            println!("{name}: {resident} resident, {queued} queued");
+            assert!(
+                resident + queued < SMALLEST_VM,
+                "{name}: {resident} resident, {queued} queued"
+            );
+        });
+    }
+}
