memory: smaller buffers, and room for more callers on small VMs

Callers of a gateway on a VM of 160 MB had idle connections closed within the users' limits, up to 211 a second, as at most 780 were kept open. Each close brings a new connection and its handshake to a link that is full.

Cause: 80 KiB were planned for each connection, of which the receive buffer of the kernel takes 64. With a buffer of 16 KiB, 32 as the kernel counts it, a connection takes 48 KiB, so that 1,300 fit; the window still carries 100 Mbit/s, and less of what callers send waits in front of a full link.

The hostile clients' tests keep their bounds.

--- a/src/coordination/memory/plan.rs
+++ b/src/coordination/memory/plan.rs
@@ -14,9 +14,9 @@
 const CONNECTION_BYTES: usize = 2 * SOCKET_BYTES + 16 * 1024;
 
 /// Size to which the kernel's receive buffer and send buffer of a caller's socket are set, in bytes. The kernel
-/// doubles it. A window of 32 KiB carries 200 Mbit/s at a round trip of 1.3 ms; by default the kernel lets
+/// doubles it. A window of 16 KiB carries 100 Mbit/s at a round trip of 1.3 ms; by default the kernel lets
 /// buffers grow to several megabytes.
-pub const SOCKET_BYTES: usize = 32 * 1024;
+pub const SOCKET_BYTES: usize = 16 * 1024;
 
 /// Descriptors for files, as the platform states it.
 const FILE_FDS: usize = 200;
@@ -47,9 +47,10 @@
 /// ```
 /// use fulmarproxy::coordination::memory::plan;
 /// let smallest = plan::divide(120_000_000, 3_075);
-/// assert_eq!((smallest.account_bytes, smallest.callers), (35_700_000, 560));
+/// assert_eq!((smallest.account_bytes, smallest.callers), (35_700_000, 933));
 /// let largest = plan::divide(512_000_000, 10_250);
-/// assert_eq!((largest.account_bytes, largest.callers), (172_900_000, 2_713));
+/// assert_eq!((largest.account_bytes, largest.callers), (172_900_000, 3_745));
+/// assert_eq!(plan::divide(160_000_000, 4_100).callers, 1_300);
 /// assert_eq!((smallest.peers, largest.peers), (702, 2_496));
 /// assert_eq!(plan::divide(512_000_000, 600).callers, 126, "bounded by the descriptors");
 /// assert_eq!(plan::divide(0, 0).callers, 16);
