overload: find a slow own link within a second

Cause: a link that filled at once was found after 2.3 s, since a peer had 0.5 s to answer and one was asked at a time. Also, answers of many backend servers could leave no room for the exchanges with peers among the 64 round trips that were kept.

Three peers are now asked at once after one was slow for 0.25 s, and of other answers only the fastest is kept.

--- a/src/coordination/overload/own_delay.rs
+++ b/src/coordination/overload/own_delay.rs
@@ -6,11 +6,12 @@
 
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
-/// Time for which a sample counts. A gateway that has a slow exchange begins about five more meanwhile.
+/// Time for which a sample counts. A gateway that has a slow exchange asks several peers about five times
+/// meanwhile.
 const WINDOW: Duration = Duration::from_millis(1500);
 
 /// Number of peers that must have been slow. Fewer may be dead at the same time while nobody else is called.
-const MIN_PEERS: usize = 3;
+pub const MIN_PEERS: usize = 3;
 
 /// Delay from which on the own VM counts as slow. A round trip takes a few milliseconds, and a VM that gets its
 /// processor time in slices is late by up to 90 ms at each end of it.
@@ -40,48 +41,47 @@
 /// Number of peers that are remembered at most.
 const MAX_PEERS: usize = 64;
 
+/// A round trip, and when it ended.
 #[derive(Clone, Copy, Debug)]
 struct Sample {
-    at: Duration,
     took: Duration,
-    /// Whether the time shows how long the way takes, not only that it takes no longer.
-    is_probe: bool,
+    at: Duration,
+}
+
+impl Sample {
+    fn is_recent(&self, now: Duration) -> bool {
+        now < self.at + WINDOW
+    }
 }
 
-/// Recent round trips by peer.
+/// Recent round trips.
 #[derive(Debug, Default)]
 pub struct OwnDelay {
-    samples: HashMap<SocketAddr, Sample>,
+    /// Newest exchange with each peer.
+    probes: HashMap<SocketAddr, Sample>,
+    /// Fastest other answer.
+    answer: Option<Sample>,
 }
 
 impl OwnDelay {
     /// Records how long an exchange took that a peer answers at once. For one that failed this is the time until
     /// it did.
     pub fn record_probe(&mut self, peer: SocketAddr, took: Duration, now: Duration) {
-        self.record(peer, took, true, now);
-    }
-
-    /// Records how long a peer took to answer what it may need time for.
-    pub fn record_answer(&mut self, peer: SocketAddr, took: Duration, now: Duration) {
-        self.record(peer, took, false, now);
+        if self.probes.len() >= MAX_PEERS {
+            self.probes.retain(|_, probe| probe.is_recent(now));
+        }
+        if self.probes.len() < MAX_PEERS || self.probes.contains_key(&peer) {
+            self.probes.insert(peer, Sample { took, at: now });
+        }
     }
 
-    fn record(&mut self, peer: SocketAddr, took: Duration, is_probe: bool, now: Duration) {
-        let is_recent = |sample: &Sample| now < sample.at + WINDOW;
-        if let Some(known) = self.samples.get(&peer).filter(|it| is_recent(it)) {
-            let is_weaker = !is_probe && took >= known.took;
-            if is_weaker {
-                return;
-            }
+    /// Records how long an answer took for which the other side may have needed time. It shows that the own VM
+    /// adds no more than that.
+    pub fn record_answer(&mut self, took: Duration, now: Duration) {
+        let known = self.answer.filter(|known| known.is_recent(now));
+        if known.is_none_or(|known| took <= known.took) {
+            self.answer = Some(Sample { took, at: now });
         }
-        if self.samples.len() >= MAX_PEERS && !self.samples.contains_key(&peer) {
-            self.samples.retain(|_, sample| is_recent(sample));
-            if self.samples.len() >= MAX_PEERS {
-                return;
-            }
-        }
-        let at = now;
-        self.samples.insert(peer, Sample { at, took, is_probe });
     }
 
     /// Round-trip time that the fastest peer had recently; zero unless several peers were called.
@@ -91,27 +91,24 @@
     /// use fulmarproxy::coordination::overload::own_delay::OwnDelay;
     /// let ms = Duration::from_millis;
     /// let peers: Vec<std::net::SocketAddr> =
-    ///     (1..=4).map(|host| ([10, 0, 0, host], 7).into()).collect();
+    ///     (1..=3).map(|host| ([10, 0, 0, host], 7).into()).collect();
     /// let mut delay = OwnDelay::default();
     /// delay.record_probe(peers[0], ms(300), ms(0));
     /// delay.record_probe(peers[1], ms(100), ms(0));
     /// assert_eq!(delay.estimate(ms(0)), ms(0), "two peers may be dead");
     /// delay.record_probe(peers[2], ms(350), ms(0));
     /// assert_eq!(delay.estimate(ms(0)), ms(100));
-    /// delay.record_answer(peers[3], ms(40), ms(500));
+    /// delay.record_answer(ms(40), ms(500));
     /// assert_eq!(delay.estimate(ms(500)), ms(40));
     /// assert_eq!(delay.estimate(ms(2000)), ms(0), "all samples are old");
     /// ```
     pub fn estimate(&self, now: Duration) -> Duration {
-        let recent = self.samples.values().filter(|it| now < it.at + WINDOW);
-        let (mut probes, mut fastest) = (0, Duration::MAX);
-        for sample in recent {
-            probes += usize::from(sample.is_probe);
-            fastest = fastest.min(sample.took);
-        }
-        match probes >= MIN_PEERS {
-            true => fastest,
-            false => Duration::ZERO,
+        let probes = self.probes.values().filter(|it| it.is_recent(now));
+        if probes.clone().count() < MIN_PEERS {
+            return Duration::ZERO;
         }
+        let answer = self.answer.iter().filter(|it| it.is_recent(now));
+        let fastest = probes.chain(answer).map(|it| it.took).min();
+        fastest.unwrap_or_default()
     }
 }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -183,7 +183,7 @@
             false => AttemptError::MayHaveRun(cause),
         }
     })?;
-    gw.round_trips.record_answer(server.address, sent_at);
+    gw.round_trips.record_answer(sent_at);
     record_announcement(gw, server, &head);
     let is_named = head.headers.text(headers::REQUEST_ID).is_some();
     let evidence = Evidence {
--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -7,8 +7,8 @@
 use crate::{
     coordination::{attempts, placing::placement, response_end::End},
     gateway::{
-        admission::Admitted, choosing, core, crash_reports, exchange, held, plain_room, relay,
-        request_error, request_log, response_end,
+        admission::Admitted, choosing, core, crash_reports, exchange, held, overload, plain_room,
+        relay, request_error, request_log, response_end,
     },
     platform::headers,
     state::{name, server},
@@ -61,11 +61,8 @@
         if attempts.count() > 0 {
             plain_room::enter_again(gw, req, attempts.sends_left(), stream).await?;
         }
-        if gw.is_stale() {
-            return Err(request_error::final_error(
-                stream,
-                request_error::STALE_MESSAGE,
-            ));
+        if let Some(refusal) = overload::stale_refusal(gw) {
+            return Err(request_error::stale_error(stream, refusal));
         }
         let placed = match choosing::place(gw, req, &attempts, &stream.origin).await {
             Ok(placed) => placed,
--- a/src/gateway/overload.rs
+++ b/src/gateway/overload.rs
@@ -41,8 +41,8 @@
     rotation: RefCell<rotation::Rotation>,
     /// When peers were last told whether this gateway is out of rotation.
     announced_at: Cell<Duration>,
-    /// Whether the last exchange of loads failed. Then the next ones follow soon, so that it is known whether
-    /// the peer is to blame or the own VM.
+    /// Whether the last exchange of loads was slow or failed. Then several peers are asked soon, so that it is
+    /// known whether the peer is to blame or the own VM.
     is_suspicious: Cell<bool>,
     /// Time of the last exchange of loads with a peer that this gateway began.
     exchanged_at: Cell<Duration>,
@@ -117,6 +117,11 @@
         counts
     }
 
+    /// Has peers asked soon whether the own VM is slow.
+    pub fn suspect_own_delay(&self) {
+        self.is_suspicious.set(true);
+    }
+
     /// Records that a peer answered.
     pub fn record_peer_answer(&self, peer: SocketAddr) {
         self.late_timeouts.borrow_mut().record_answer(peer);
@@ -416,26 +421,24 @@
 
 /// Other gateways that answer, with their names.
 fn responsive_peers(gw: &core::Gateway) -> Vec<(String, SocketAddr)> {
-    let peers = gw.peers.borrow();
-    let responsive = peers
-        .iter()
-        .filter(|(_, address)| peer_rpc::is_responsive(gw, **address));
-    let responsive = responsive.map(|(name, address)| (name.clone(), *address));
-    responsive.collect()
+    select_peers(gw, |address| peer_rpc::is_responsive(gw, address))
 }
 
-fn all_peers(gw: &core::Gateway) -> Vec<(String, SocketAddr)> {
+fn select_peers(
+    gw: &core::Gateway,
+    is_selected: impl Fn(SocketAddr) -> bool,
+) -> Vec<(String, SocketAddr)> {
     let peers = gw.peers.borrow();
-    let peers = peers.iter();
-    peers
-        .map(|(name, address)| (name.clone(), *address))
-        .collect()
+    let selected = peers.iter().filter(|(_, address)| is_selected(**address));
+    let selected = selected.map(|(name, address)| (name.clone(), *address));
+    selected.collect()
 }
 
-/// Exchanges loads with a responsive peer, chosen at random, if it is time for that.
+/// Exchanges loads with a peer, or several, chosen at random, if it is time for that.
 pub fn exchange_loads(gw: &Rc<core::Gateway>) {
     let (overload, now) = (&gw.overload, gw.now());
-    let interval = match overload.is_suspicious.get() || gw.round_trips.is_slow() {
+    let is_suspicious = overload.is_suspicious.get() || gw.round_trips.is_slow();
+    let interval = match is_suspicious {
         true => peer_load::OVERLOADED_INTERVAL,
         false => peer_load::interval(overload.load(gw.link())),
     };
@@ -446,11 +449,12 @@
     overload.exchanged_at.set(now);
     overload.jitter.set(MAX_JITTER * fastrand::f64());
     // Peers that did not answer say whether the own VM is to blame.
-    let peers = match overload.is_suspicious.get() {
-        true => all_peers(gw),
-        false => responsive_peers(gw),
+    let (mut peers, count) = match is_suspicious {
+        true => (select_peers(gw, |_| true), own_delay::MIN_PEERS),
+        false => (responsive_peers(gw), 1),
     };
-    if let Some(peer) = fastrand::choice(peers) {
+    fastrand::shuffle(&mut peers);
+    for peer in peers.into_iter().take(count) {
         exchange_with(gw, peer);
     }
 }
--- a/src/gateway/peer_rpc.rs
+++ b/src/gateway/peer_rpc.rs
@@ -29,7 +29,7 @@
 
 /// Time after which an exchange of loads without a reply counts as slow, and time limit for it. A late reply
 /// shows that the peer is alive, and how long the own link delays calls.
-const LOAD_PATIENCE: Duration = Duration::from_millis(500);
+const LOAD_PATIENCE: Duration = Duration::from_millis(250);
 const LOAD_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Time after which a call is aborted for good. Tokens in a later reply are lost, but none is
@@ -253,6 +253,7 @@
     let mut exchange = std::pin::pin!(send_call(gw, peer, &call, LOAD_TIMEOUT));
     let mut reply = gw.timers.within(LOAD_PATIENCE, &mut exchange).await;
     if reply.is_none() {
+        gw.overload.suspect_own_delay();
         gw.round_trips.record_probe(peer, started);
         let rest = LOAD_TIMEOUT - LOAD_PATIENCE;
         reply = gw.timers.within(rest, &mut exchange).await;
--- a/src/gateway/request_error.rs
+++ b/src/gateway/request_error.rs
@@ -153,6 +153,14 @@
     refusal.into()
 }
 
+/// Error for a request while what is known of the store is too old to act on.
+pub fn stale_error(stream: &relay::EventStream, refusal: Refusal) -> RequestError {
+    match stream.is_started || stream.meter.may_have_run() {
+        true => final_error(stream, STALE_MESSAGE),
+        false => refusal.into(),
+    }
+}
+
 /// Error for a request when the servers that it could use have named a time, the earliest of which
 /// is `opens_at`.
 pub fn closed_error(
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -568,7 +568,7 @@
             let answered = outcome.is_ok() && !refused;
             if answered {
                 if call != WATCH {
-                    self.round_trips.record_answer(address, started);
+                    self.round_trips.record_answer(started);
                 }
                 self.late_timeouts.borrow_mut().record_answer(address);
             }
--- a/src/transport/round_trips.rs
+++ b/src/transport/round_trips.rs
@@ -32,11 +32,11 @@
         self.samples.borrow_mut().record_probe(peer, took, now);
     }
 
-    /// Records that a peer answered now, which may have taken it some time.
-    pub fn record_answer(&self, peer: SocketAddr, started: Duration) {
+    /// Records that another process answered now, which may have taken it some time.
+    pub fn record_answer(&self, started: Duration) {
         let now = self.timers.now();
         let took = now.saturating_sub(started);
-        self.samples.borrow_mut().record_answer(peer, took, now);
+        self.samples.borrow_mut().record_answer(took, now);
     }
 
     /// Computes the delay at the own VM anew, and returns it.
