--- a/src/coordination/overload/peer_load.rs
+++ b/src/coordination/overload/peer_load.rs
@@ -16,7 +16,7 @@
 const MIN_BUSY_LOAD: f64 = 0.5;
 
 /// Time between two exchanges of a gateway that has too much load, of one that is busy, and of one that
-/// is not. The first decides whether it leaves the rotation, by loads of the last [`RECENT`].
+/// is not. The first decides whether it leaves the rotation, by loads of the last second.
 pub const OVERLOADED_INTERVAL: Duration = Duration::from_millis(250);
 const BUSY_INTERVAL: Duration = Duration::from_secs(1);
 const IDLE_INTERVAL: Duration = Duration::from_secs(5);
