overload: exchanges of loads in a file of their own; names

Moves the exchanges with other gateways, which also find a slow own link, to overload/load_exchange.rs, and rewords comments that a reader may stop at. No change of behavior.

--- a/src/coordination/configuration/staleness.rs
+++ b/src/coordination/configuration/staleness.rs
@@ -1,7 +1,7 @@
 //! Whether a gateway whose own VM is slow may still act on what it knows of the store.
 //!
 //! Handles links that callers fill and processes that are short of processor time: what the store or a leader
-//! sends then waits behind everything else, and the gateway cannot tell "no change" from a change on its way.
+//! sends then waits behind everything else, and the gateway cannot distinguish "no change" from a change on its way.
 //! A store that is down is another matter: nobody knows more, and requests are served on.
 
 use std::time::Duration;
--- a/src/coordination/crashes/resending.rs
+++ b/src/coordination/crashes/resending.rs
@@ -37,7 +37,7 @@
     /// let mut resending = Resending::default();
     /// resending.record("a", false, ms(0));
     /// assert!(!resending.is_due("a", ms(499)) && resending.is_due("a", ms(500)));
-    /// assert!(resending.is_due("b", ms(0)), "others are told at once");
+    /// assert!(resending.is_due("b", ms(0)), "others are due at once");
     /// resending.record("a", false, ms(500));
     /// assert_eq!(resending.next_due(), Some(ms(1500)));
     /// resending.record("a", true, ms(1500));
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -393,7 +393,7 @@
         self.draining.get().is_some()
     }
 
-    /// Waits until the process, which was told to stop, is about to exit.
+    /// Waits until the process, after a stop signal, is about to exit.
     pub async fn exiting(&self) {
         loop {
             let exiting = self.exit_event.listen();
--- a/src/gateway/crash_reports.rs
+++ b/src/gateway/crash_reports.rs
@@ -301,7 +301,7 @@
     Ok(())
 }
 
-/// Sends counts to the gateways that don't know them yet and may be told now; returns whether all know them.
+/// Sends counts to the gateways that don't know them yet and are due; returns whether all know them.
 async fn tell_peers(gw: &Rc<core::Gateway>) -> bool {
     let reports = &gw.crash_notes;
     let last = reports.suspects.borrow().last_change();
@@ -340,8 +340,8 @@
         answers.extend(futures::future::join_all(peers.iter().copied().map(&tell)).await);
     }
     told.extend(answers.into_iter().flatten());
-    let is_told = |holder: &String| told.get(holder).is_some_and(|change| *change >= last);
-    let is_complete = peers.keys().all(is_told);
+    let is_current = |holder: &String| told.get(holder).is_some_and(|change| *change >= last);
+    let is_complete = peers.keys().all(is_current);
     *reports.told.borrow_mut() = told;
     is_complete
 }
--- a/src/gateway/overload.rs
+++ b/src/gateway/overload.rs
@@ -2,6 +2,8 @@
 //! take the lag into account, refuses new requests while it is too high, and keeps the gateway out of
 //! rotation while its load is.
 
+pub mod load_exchange;
+
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
@@ -16,7 +18,7 @@
     coordination::overload::{
         batching, lag, late_timeouts, link_use, own_delay, peer_load, refusing, rotation,
     },
-    gateway::{admission::Admitted, core, peer_rpc, refusal::Refusal, request_error},
+    gateway::{admission::Admitted, core, refusal::Refusal, request_error},
     transport::traffic,
 };
 
@@ -27,9 +29,6 @@
 /// configuration must be in force.
 const DELAY_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Largest extension of the time between two exchanges of loads, as a fraction of it.
-const MAX_JITTER: f64 = 0.2;
-
 /// State of a gateway's overload control.
 #[derive(Default)]
 pub struct Overload {
@@ -139,12 +138,12 @@
             measuring.overload.record_tick(now.saturating_sub(due), now);
             update_own_delay(&measuring, now);
             update_rotation(&measuring, now);
-            exchange_loads(&measuring);
+            load_exchange::exchange_loads(&measuring);
         }
     });
 }
 
-/// Computes the delay at the own VM, and logs a high one with what tells its causes apart: the link, the event
+/// Computes the delay at the own VM, and logs a high one with what distinguishes its causes: the link, the event
 /// loop, or peers.
 fn update_own_delay(gw: &core::Gateway, now: Duration) {
     let own_delay = gw.round_trips.update();
@@ -186,11 +185,11 @@
     let Some(change) = overload.rotation.borrow_mut().tick(signs, now) else {
         let announced_at = overload.announced_at.get();
         if overload.is_out() && now >= announced_at + rotation::ANNOUNCE_INTERVAL {
-            announce(gw, now);
+            load_exchange::announce(gw, now);
         }
         return;
     };
-    announce(gw, now);
+    load_exchange::announce(gw, now);
     let load = signs.load;
     let rates = overload.link_use.borrow().rates();
     let (received_per_s, sent_per_s) = (rates.received as u64, rates.sent as u64);
@@ -392,95 +391,3 @@
     let refusal = Refusal::new(Code::StaleConfig, request_error::STALE_MESSAGE);
     Some(refusal.retry_after(refusing::retry_after(Duration::MAX, fastrand::f64())))
 }
-
-/// Report of this gateway's load.
-fn own_report(gw: &core::Gateway) -> peer_load::Report {
-    peer_load::Report {
-        gateway: gw.holder().into(),
-        load: gw.overload.load(gw.link()),
-        is_out: gw.overload.is_out(),
-    }
-}
-
-/// Records the report of a peer, and returns the own one.
-pub fn receive_report(gw: &core::Gateway, report: peer_load::Report) -> peer_load::Report {
-    gw.overload.record_report(report, gw.now());
-    own_report(gw)
-}
-
-/// Tells peers, chosen at random, whether this gateway is out of rotation.
-fn announce(gw: &Rc<core::Gateway>, now: Duration) {
-    gw.overload.announced_at.set(now);
-    let mut peers = responsive_peers(gw);
-    fastrand::shuffle(&mut peers);
-    peers.truncate(rotation::MAX_TOLD);
-    for peer in peers {
-        exchange_with(gw, peer);
-    }
-}
-
-/// Other gateways that answer, with their names.
-fn responsive_peers(gw: &core::Gateway) -> Vec<(String, SocketAddr)> {
-    select_peers(gw, |address| peer_rpc::is_responsive(gw, address))
-}
-
-fn select_peers(
-    gw: &core::Gateway,
-    is_selected: impl Fn(SocketAddr) -> bool,
-) -> Vec<(String, SocketAddr)> {
-    let peers = gw.peers.borrow();
-    let selected = peers.iter().filter(|(_, address)| is_selected(**address));
-    let selected = selected.map(|(name, address)| (name.clone(), *address));
-    selected.collect()
-}
-
-/// Exchanges loads with a peer, or several, chosen at random, if it is time for that.
-pub fn exchange_loads(gw: &Rc<core::Gateway>) {
-    let (overload, now) = (&gw.overload, gw.now());
-    let is_suspicious = overload.is_suspicious.get() || gw.round_trips.is_slow();
-    let interval = match is_suspicious {
-        true => peer_load::OVERLOADED_INTERVAL,
-        false => peer_load::interval(overload.load(gw.link())),
-    };
-    let jitter = 1.0 + overload.jitter.get();
-    if now < overload.exchanged_at.get() + interval.mul_f64(jitter) {
-        return;
-    }
-    overload.exchanged_at.set(now);
-    overload.jitter.set(MAX_JITTER * fastrand::f64());
-    // Peers that did not answer say whether the own VM is to blame.
-    let (mut peers, count) = match is_suspicious {
-        true => (select_peers(gw, |_| true), own_delay::MIN_PEERS),
-        false => (responsive_peers(gw), 1),
-    };
-    fastrand::shuffle(&mut peers);
-    for peer in peers.into_iter().take(count) {
-        exchange_with(gw, peer);
-    }
-}
-
-/// Starts an exchange of loads with a peer.
-fn exchange_with(gw: &Rc<core::Gateway>, peer: (String, SocketAddr)) {
-    let asking = gw.clone();
-    gw.spawn(async move {
-        let (name, address) = peer;
-        match peer_rpc::exchange_loads(&asking, address, own_report(&asking)).await {
-            Ok(report) => {
-                asking.overload.is_suspicious.set(false);
-                asking.overload.record_report(report, asking.now());
-            }
-            Err(cause) => {
-                asking.overload.is_suspicious.set(true);
-                counter!("fulmar_gateway_load_exchange_failures_total").increment(1);
-                tracing::debug!(
-                    peer = name,
-                    cause,
-                    "overload: a gateway did not report its load"
-                );
-                if !asking.round_trips.is_slow() {
-                    asking.overload.peer_loads.borrow_mut().forget(&name);
-                }
-            }
-        }
-    });
-}
--- a/src/gateway/peer_serving.rs
+++ b/src/gateway/peer_serving.rs
@@ -7,7 +7,8 @@
 use crate::{
     coordination::{budgets::share, memory::plan},
     gateway::{
-        core, overload,
+        core,
+        overload::load_exchange,
         peer_messages::{Call, LoadCall, Message, Reply},
         peer_rpc, permit_issuing,
     },
@@ -62,7 +63,7 @@
                 let handled = match message {
                     Message::Call(call) => handle(&serving, call, &handler).await,
                     Message::Load(report) => {
-                        let own = overload::receive_report(&serving, report);
+                        let own = load_exchange::receive_report(&serving, report);
                         serde_json::to_string(&own).ok().map(|body| (body, 0))
                     }
                 };
--- a/tests/crash_counts.rs
+++ b/tests/crash_counts.rs
@@ -45,7 +45,7 @@
             env.sleep(25).await;
         }
         // One call at the start, and then after 0.5, 1 and 2 s, each of which waits 0.25 s for a reply.
-        assert!(connections.get() >= 2, "it is told again");
+        assert!(connections.get() >= 2, "it is asked again");
         assert!(connections.get() <= 5, "{} calls in 4 s", connections.get());
         drop(accepting);
     });
--- a/tests/late_in_grace.rs
+++ b/tests/late_in_grace.rs
@@ -1,4 +1,4 @@
-//! Requests that a gateway takes after it was told to stop and cannot finish: what their callers get.
+//! Requests that a gateway accepts after a stop signal and cannot finish: what their callers get.
 
 mod common;
 mod gateway_world;
