carrier: give other connections a turn beside bytes without end

A gateway that reached the store through a carrier could wait seconds for an answer while the carrier forwarded another one without end.

Cause: the library's copy loop does not yield while both sides are ready, so that one fast connection keeps the only thread. The class is that of docs/incidents/answers-without-end.md, whose postmortem left the carrier out.

tests/endless_store.rs failed beside load, at first by a time limit of 5 s for 20 calls, which depends on the machine and is replaced: at most 640 MiB may be forwarded without end meanwhile.

--- a/src/carrier.rs
+++ b/src/carrier.rs
@@ -10,7 +10,7 @@
     error, logging, platform,
     transport::{
         admin,
-        h1::{accept, conn, dial},
+        h1::{accept, conn, dial, fault},
         signals, timers,
     },
 };
@@ -139,14 +139,26 @@
     stream: &async_net::TcpStream,
     store: SocketAddr,
     timers: &timers::Timers,
-) -> std::io::Result<()> {
+) -> Result<(), fault::Fault> {
     dial::detect_dead_peer(stream)?;
     let conn: conn::Conn = dial::connect(store, CONNECT_TIMEOUT, timers).await?;
     let store_stream = conn.socket();
-    let upload = smol::io::copy(stream.clone(), store_stream.clone());
-    let download = smol::io::copy(store_stream.clone(), stream.clone());
+    let upload = copy(stream.clone(), store_stream.clone());
+    let download = copy(store_stream, stream.clone());
     // When one side closes, both connections are closed: a call whose answer can't be forwarded is
     // of no use.
     smol::future::or(upload, download).await?;
     Ok(())
 }
+
+/// Copies bytes until the source ends. [`conn::Conn::fill`] gives other connections a turn, also while both sides
+/// are always ready.
+async fn copy(from: async_net::TcpStream, to: async_net::TcpStream) -> Result<(), fault::Fault> {
+    let mut reader = conn::Conn::new(from);
+    let mut writer = conn::Conn::new(to);
+    while reader.fill().await? {
+        writer.write(reader.unread()).await?;
+        reader.consume(reader.unread().len());
+    }
+    Ok(())
+}
--- a/tests/endless_store.rs
+++ b/tests/endless_store.rs
@@ -10,14 +10,20 @@
         atomic::{AtomicU64, Ordering},
     },
     thread,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use common::placed::Placed;
 
-/// Connections that get bytes without end, and time within which another call must be answered.
+/// Connections that get bytes without end.
 const ENDLESS: usize = 4;
-const ANSWER_TIME: Duration = Duration::from_secs(5);
+
+/// Other calls, and bytes that may be forwarded without end until they are answered: 32 MiB a call.
+const CALLS: usize = 20;
+const MAX_BYTES: u64 = 640 << 20;
+
+/// Time limit that only stops a test that hangs.
+const HANG_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Starts a store that answers a call of `/endless` without end; returns its address.
 fn start_store() -> String {
@@ -71,19 +77,16 @@
     while taken.load(Ordering::Relaxed) < 100 << 20 {
         thread::sleep(Duration::from_millis(10));
     }
-    let began = Instant::now();
-    for _ in 0..20 {
+    let before = taken.load(Ordering::Relaxed);
+    for _ in 0..CALLS {
         let mut conn = open(&address, "/other");
-        conn.set_read_timeout(Some(ANSWER_TIME)).unwrap();
+        conn.set_read_timeout(Some(HANG_TIMEOUT)).unwrap();
         let mut text = String::new();
         conn.read_to_string(&mut text).unwrap();
         assert!(text.ends_with("done"), "{text}");
     }
-    assert!(
-        began.elapsed() < ANSWER_TIME,
-        "20 calls took {:?}",
-        began.elapsed()
-    );
+    let meanwhile = taken.load(Ordering::Relaxed) - before;
+    assert!(meanwhile <= MAX_BYTES, "{} MiB meanwhile", meanwhile >> 20);
     assert!(
         carrier.child.try_wait().unwrap().is_none(),
         "the carrier runs"
