store: log and count responses that are cut off while they arrive

Logs could not tell a store that does not answer from a response that is cut off while it arrives, nor a silent watch from one that was ended while it delivered the change. The client now records when a response begins and how many of its bytes have arrived, and logs that with timeouts, with watches that are ended, and for responses that take 0.25 s or longer. fulmar_gateway_store_incomplete_responses_total counts responses that are cut off; two gauges give the time since a change is known that the gateway does not have.

--- a/src/coordination/configuration.rs
+++ b/src/coordination/configuration.rs
@@ -4,6 +4,7 @@
 //! others, and when knowledge counts as outdated. They are based on the stable window of the settings,
 //! the list of gateways, what the store and other gateways reported, and the time.
 
+pub mod arrival;
 pub mod confirmation;
 pub mod leader_choice;
 pub mod staleness;
--- a/src/coordination/configuration/confirmation.rs
+++ b/src/coordination/configuration/confirmation.rs
@@ -81,6 +81,8 @@
     started: Duration,
     ends: Duration,
     is_long: bool,
+    /// Time at which the response of the store began to arrive.
+    response_began: Option<Duration>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -279,10 +281,45 @@
             started: now,
             ends: now + wait,
             is_long: wait > short,
+            response_began: None,
         });
         wait
     }
 
+    /// Records that the response to the watch in progress began to arrive.
+    pub fn begin_response(&mut self, now: Duration) {
+        if let Some(watch) = &mut self.watch {
+            watch.response_began = Some(now);
+        }
+    }
+
+    /// Whether the response to the watch in progress has begun to arrive.
+    pub fn is_response_arriving(&self) -> bool {
+        self.watch.is_some_and(|it| it.response_began.is_some())
+    }
+
+    /// Time since which a change is known that this gateway does not have: one that the leader reported, or one
+    /// whose response is arriving. `None` when there is none.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use fulmarproxy::coordination::configuration::confirmation::Prefix;
+    /// let mut prefix = Prefix::default();
+    /// let millis = Duration::from_millis;
+    /// prefix.record_read(1, 10, [].into_iter(), millis(0));
+    /// prefix.begin_watch(&Prefix::default(), false, millis(1500), millis(0));
+    /// assert_eq!(prefix.behind_since(), None);
+    /// prefix.begin_response(millis(700));
+    /// assert_eq!(prefix.behind_since(), Some(millis(700)));
+    /// prefix.record_watch([("objects/current", Some(11))].into_iter(), 11, 11, millis(900));
+    /// assert_eq!(prefix.behind_since(), None);
+    /// ```
+    pub fn behind_since(&self) -> Option<Duration> {
+        let reported = self.missing.map(|it| it.since);
+        let arriving = self.watch.and_then(|it| it.response_began);
+        reported.into_iter().chain(arriving).min()
+    }
+
     /// What to do about the watch in progress. `response_time` is that of the store in recent calls.
     /// Without it, followers of a slow store would read at each change what their watches are about to
     /// deliver, and make it slower.
--- a/src/gateway/pages.rs
+++ b/src/gateway/pages.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     error,
-    gateway::{admission, core, explaining, overload, refusal},
+    gateway::{admission, core, explaining, overload, refusal, watch_notes::Part},
     platform::{described_request, readiness},
     transport::h1::{accept, body, conn, fault, head},
 };
@@ -117,6 +117,19 @@
     let age = |confirmed_at: Duration| gw.now().saturating_sub(confirmed_at).as_secs_f64();
     gauge!("fulmar_gateway_config_age_seconds").set(age(gw.config_confirmed_at.get()));
     gauge!("fulmar_gateway_servers_age_seconds").set(age(gw.servers_confirmed_at.get()));
+    for (part, gauge) in [
+        (
+            Part::Configuration,
+            gauge!("fulmar_gateway_config_behind_seconds"),
+        ),
+        (
+            Part::Servers,
+            gauge!("fulmar_gateway_servers_behind_seconds"),
+        ),
+    ] {
+        let since = gw.watch_notes.prefix(part).borrow().behind_since();
+        gauge.set(since.map_or(0.0, age));
+    }
     gw.memory.update_gauges();
     gw.callers.update_gauges();
     gw.plain_queues.update_gauges();
--- a/src/gateway/watch_notes.rs
+++ b/src/gateway/watch_notes.rs
@@ -131,6 +131,12 @@
         prefix.begin_watch(&other, self.leads(), short, now)
     }
 
+    /// Records that the response to the watch of a prefix began to arrive.
+    pub fn begin_response(&self, part: Part, now: Duration) {
+        self.prefix(part).borrow_mut().begin_response(now);
+        self.changed.notify(usize::MAX);
+    }
+
     /// Waits until the watch of a prefix must be ended; returns why. `response_time` is that of the
     /// store.
     pub async fn watch_end(
--- a/src/gateway/watching.rs
+++ b/src/gateway/watching.rs
@@ -100,7 +100,8 @@
         }
         let short = gw.watch_wait();
         let wait = gw.watch_notes.begin_watch(part, short, gw.now());
-        let watching = async { Ok(gw.store.watch(path_prefix, after, wait).await) };
+        let began = || gw.watch_notes.begin_response(part, gw.now());
+        let watching = async { Ok(gw.store.watch(path_prefix, after, wait, &began).await) };
         let response_time = || gw.store.response_time();
         let ended = gw
             .watch_notes
@@ -121,7 +122,8 @@
             .increment(1);
         let confirmed_at = gw.watch_notes.prefix(part).borrow().confirmed_at();
         let age = gw.now().saturating_sub(confirmed_at.unwrap_or_default());
-        tracing::info!(part = name, reason = %end, after, age_ms = age.as_millis() as u64,
+        let was_arriving = gw.watch_notes.prefix(part).borrow().is_response_arriving();
+        tracing::info!(part = name, reason = %end, after, age_ms = age.as_millis() as u64, was_arriving,
                        "watches: ended a watch");
         if end != End::Leads {
             gw.store.close_idle();
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -15,7 +15,7 @@
 use serde::Deserialize;
 
 use crate::{
-    coordination::{era, overload::late_timeouts},
+    coordination::{configuration::arrival, era, overload::late_timeouts},
     platform::headers,
     platform::store_wire::{
         WireApplied, WireCondition, WireConflict, WireEvents, WireItem, WireLease, WirePage,
@@ -41,6 +41,9 @@
 /// five seconds when nothing changes, so a slow one is forgotten after about twenty seconds.
 const RESPONSE_TIME_DECAY: f64 = 0.75;
 
+/// Time from which on the arrival of a response is logged. A usual one comes in one piece.
+const LONG_ARRIVAL: Duration = Duration::from_millis(250);
+
 /// Name of the watch call in metrics, logs and errors.
 const WATCH: &str = "watch";
 
@@ -200,6 +203,91 @@
     }
 }
 
+/// A call to be made.
+#[derive(Clone, Copy)]
+struct Call<'a> {
+    /// Name in metrics, logs and errors.
+    name: &'static str,
+    method: &'a str,
+    path: &'a str,
+    body: Option<&'a [u8]>,
+    /// Time limit for the response, without that for a slow link.
+    timeout: Duration,
+    /// Called when the head of a response has arrived.
+    began: &'a dyn Fn(),
+}
+
+impl<'a> Call<'a> {
+    fn get(name: &'static str, path: &'a str) -> Self {
+        Self {
+            name,
+            method: "GET",
+            path,
+            body: None,
+            timeout: CALL_TIMEOUT,
+            began: &|| (),
+        }
+    }
+
+    fn post(name: &'static str, path: &'a str, body: &'a [u8]) -> Self {
+        Self {
+            method: "POST",
+            body: Some(body),
+            ..Self::get(name, path)
+        }
+    }
+}
+
+/// A response on its way. One that is dropped before its end is counted and logged.
+struct Arriving<'a> {
+    call: &'static str,
+    timers: &'a timers::Timers,
+    arrival: Cell<arrival::Arrival>,
+    is_whole: Cell<bool>,
+}
+
+impl<'a> Arriving<'a> {
+    fn new(call: &'static str, timers: &'a timers::Timers) -> Self {
+        Self {
+            call,
+            timers,
+            arrival: Cell::default(),
+            is_whole: Cell::new(false),
+        }
+    }
+
+    fn update(&self, change: impl FnOnce(&mut arrival::Arrival)) {
+        let mut arrival = self.arrival.get();
+        change(&mut arrival);
+        self.arrival.set(arrival);
+    }
+}
+
+impl Drop for Arriving<'_> {
+    fn drop(&mut self) {
+        let arrival = self.arrival.get();
+        let Some(began_at) = arrival.began_at else {
+            return;
+        };
+        let took = self.timers.now().saturating_sub(began_at);
+        let (call, received, announced) = (self.call, arrival.received, arrival.announced);
+        let arrival_ms = took.as_millis() as u64;
+        if !self.is_whole.get() {
+            metrics::counter!("fulmar_gateway_store_incomplete_responses_total", "call" => call)
+                .increment(1);
+            tracing::info!(
+                call,
+                received,
+                announced,
+                arrival_ms,
+                "store: a response was cut off"
+            );
+        } else if took >= LONG_ARRIVAL {
+            tracing::info!(call, received, arrival_ms, "store: a long response arrived");
+        }
+    }
+}
+
 struct Response {
     status: u16,
     body: Vec<u8>,
@@ -291,7 +379,7 @@
     pub async fn get(&self, key: &str) -> Result<Item, StoreError> {
         const CALL: &str = "get";
         let path = format!("/kv-key?key={}", percent_encode(key));
-        let response = self.call(CALL, "GET", &path, None, CALL_TIMEOUT).await?;
+        let response = self.call(Call::get(CALL, &path)).await?;
         require_era(CALL, &response)?;
         let era = self.era();
         match response.status {
@@ -325,7 +413,7 @@
             if stale {
                 path.push_str("&stale_ok=1");
             }
-            let response = self.call(CALL, "GET", &path, None, CALL_TIMEOUT).await?;
+            let response = self.call(Call::get(CALL, &path)).await?;
             if response.status != 200 {
                 return Err(status_error(CALL, response.status));
             }
@@ -345,7 +433,8 @@
         }
     }
 
-    /// Waits at most `wait` for changes of keys that start with a prefix, after revision `after`.
+    /// Waits at most `wait` for changes of keys that start with a prefix, after revision `after`. `began` is
+    /// called when the head of the response has arrived.
     ///
     /// # Errors
     ///
@@ -355,6 +444,7 @@
         prefix: &str,
         after: u64,
         wait: Duration,
+        began: &dyn Fn(),
     ) -> Result<WatchOutcome, StoreError> {
         const CALL: &str = WATCH;
         let path = format!(
@@ -362,9 +452,13 @@
             percent_encode(prefix),
             wait.as_millis()
         );
-        let timeout = wait + CALL_TIMEOUT;
         let era = self.era();
-        let watching = async { Some(self.call(CALL, "GET", &path, None, timeout).await) };
+        let call = Call {
+            timeout: wait + CALL_TIMEOUT,
+            began,
+            ..Call::get(CALL, &path)
+        };
+        let watching = async { Some(self.call(call).await) };
         let era_ended = async {
             self.wait_for_era_after(era).await;
             None
@@ -434,8 +528,7 @@
         };
         let body = serde_json::to_vec(&wire).map_err(|err| no_response(CALL, err.to_string()))?;
         let era = self.era();
-        let response = self.call(CALL, "POST", "/kv-txn", Some(&body), CALL_TIMEOUT);
-        let response = response.await?;
+        let response = self.call(Call::post(CALL, "/kv-txn", &body)).await?;
         require_era(CALL, &response)?;
         if self.era() != era {
             // The write was planned on what the store may have forgotten.
@@ -465,14 +558,8 @@
     pub async fn grant_lease(&self, ttl: Duration) -> Result<Lease, StoreError> {
         const CALL: &str = "lease";
         let body = format!("{{\"ttl_ms\":{}}}", ttl.as_millis());
-        let response = self.call(
-            CALL,
-            "POST",
-            "/kv-lease",
-            Some(body.as_bytes()),
-            CALL_TIMEOUT,
-        );
-        let response = response.await?;
+        let call = Call::post(CALL, "/kv-lease", body.as_bytes());
+        let response = self.call(call).await?;
         if response.status != 200 {
             return Err(status_error(CALL, response.status));
         }
@@ -491,9 +578,7 @@
     pub async fn renew_lease(&self, lease: u64) -> Result<bool, StoreError> {
         const CALL: &str = "keep";
         let path = format!("/kv-keep/{lease}");
-        let response = self
-            .call(CALL, "POST", &path, Some(b""), CALL_TIMEOUT)
-            .await?;
+        let response = self.call(Call::post(CALL, &path, b"")).await?;
         match response.status {
             200 => Ok(true),
             404 => Ok(false),
@@ -509,7 +594,11 @@
     pub async fn revoke_lease(&self, lease: u64) -> Result<(), StoreError> {
         const CALL: &str = "end";
         let path = format!("/kv-lease-end/{lease}");
-        let response = self.call(CALL, "DELETE", &path, None, CALL_TIMEOUT).await?;
+        let call = Call {
+            method: "DELETE",
+            ..Call::get(CALL, &path)
+        };
+        let response = self.call(call).await?;
         match response.status {
             200 | 204 | 404 => Ok(()),
             status => Err(status_error(CALL, status)),
@@ -522,21 +611,16 @@
     /// Another attempt follows only when the previous one certainly did nothing or was a read. An
     /// interrupted watch is not retried but ends with an error: the store may have dropped the
     /// history since, so the items must be read again.
-    async fn call(
-        &self,
-        call: &'static str,
-        method: &str,
-        path: &str,
-        body: Option<&[u8]>,
-        timeout: Duration,
-    ) -> Result<Response, StoreError> {
+    async fn call(&self, req: Call<'_>) -> Result<Response, StoreError> {
+        let call = req.name;
         let mut attempts = 0;
         loop {
             attempts += 1;
-            let timeout = timeout + self.round_trips.patience();
+            let timeout = req.timeout + self.round_trips.patience();
             let address = (self.route.next_address)();
             let started = self.timers.now();
-            let attempt = self.exchange(address, method, path, body);
+            let arriving = Arriving::new(call, &self.timers);
+            let attempt = self.exchange(address, req, &arriving);
             let mut counts = true;
             let outcome = match self.timers.within(timeout, attempt).await {
                 Some(outcome) => outcome,
@@ -550,7 +634,9 @@
                     let late = self.timers.now().saturating_sub(started + timeout);
                     counts = self.counts_timeout(address, late);
                     let own_delay_ms = self.round_trips.delay().as_millis() as u64;
-                    tracing::info!(call, %address, own_delay_ms, ?late, "store: a call timed out");
+                    let arrival = arriving.arrival.get();
+                    tracing::info!(call, %address, own_delay_ms, ?late, ?arrival,
+                                   "store: a call timed out");
                     let cause = format!("no response within {timeout:?}");
                     Err(AttemptError::NoResponse(cause))
                 }
@@ -564,7 +650,7 @@
                 let earlier = self.response_time.get().mul_f64(RESPONSE_TIME_DECAY);
                 self.response_time.set(earlier.max(took));
             }
-            tracing::debug!(call, path, %address, ?took, refused, "store: call ended");
+            tracing::debug!(call, path = req.path, %address, ?took, refused, "store: call ended");
             let answered = outcome.is_ok() && !refused;
             if answered {
                 if call != WATCH {
@@ -578,7 +664,7 @@
             let can_retry = match &outcome {
                 Ok(_) => refused,
                 Err(AttemptError::NotSent(_)) => true,
-                Err(AttemptError::NoResponse(_)) => method == "GET" && call != WATCH,
+                Err(AttemptError::NoResponse(_)) => req.method == "GET" && call != WATCH,
             };
             if !can_retry || attempts == MAX_ATTEMPTS {
                 return outcome.map_err(|err| no_response(call, err.cause()));
@@ -637,10 +723,12 @@
     async fn exchange(
         &self,
         address: SocketAddr,
-        method: &str,
-        path: &str,
-        body: Option<&[u8]>,
+        req: Call<'_>,
+        arriving: &Arriving<'_>,
     ) -> Result<Response, AttemptError> {
+        let Call {
+            method, path, body, ..
+        } = req;
         let mut conn = self.connection(address).await?;
         let mut request = format!("{method} {path} HTTP/1.1\r\nHost: {address}\r\n");
         if let Some(body) = body {
@@ -654,7 +742,22 @@
         let response = head::read_response(&mut conn).await?;
         let framing = body::response_framing(&response, method)?;
         let mut reader = body::Body::new(framing);
-        let response_body = reader.read_all(&mut conn, MAX_RESPONSE_BYTES).await?;
+        let now = self.timers.now();
+        arriving.update(|arrival| {
+            arrival.begin(reader.missing(), now);
+            arrival.record(conn.unread().len() as u64);
+        });
+        (req.began)();
+        let fill = async |body: &mut body::Body, conn: &mut conn::Conn| {
+            let before = conn.unread().len();
+            body.fill(conn).await?;
+            let bytes = conn.unread().len().saturating_sub(before) as u64;
+            arriving.update(|arrival| arrival.record(bytes));
+            Ok(())
+        };
+        let reading = reader.read_all_by(&mut conn, MAX_RESPONSE_BYTES, fill);
+        let response_body = reading.await?;
+        arriving.is_whole.set(true);
         if response.keeps_alive() && framing != body::Framing::Close {
             let until = self.timers.now() + IDLE_TIMEOUT;
             self.pool.borrow_mut().put(address, conn, until);
--- a/src/transport/h1/body.rs
+++ b/src/transport/h1/body.rs
@@ -217,6 +217,21 @@
         &mut self,
         conn: &mut conn::Conn,
         max_bytes: usize,
+    ) -> Result<Vec<u8>, fault::Fault> {
+        let fill = async |body: &mut Self, conn: &mut conn::Conn| body.fill(conn).await;
+        self.read_all_by(conn, max_bytes, fill).await
+    }
+
+    /// As [`Self::read_all`]; `fill` reads more bytes of the connection, and ends the body by an error.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Self::read_all`], and those of `fill`.
+    pub async fn read_all_by(
+        &mut self,
+        conn: &mut conn::Conn,
+        max_bytes: usize,
+        mut fill: impl AsyncFnMut(&mut Self, &mut conn::Conn) -> Result<(), fault::Fault>,
     ) -> Result<Vec<u8>, fault::Fault> {
         let mut whole = Vec::new();
         let max = self.max_capacity(max_bytes)?;
@@ -227,7 +242,7 @@
                     let capacity = growth::capacity(whole.capacity(), whole.len() + 1, max);
                     whole.reserve_exact(capacity - whole.len());
                 }
-                Needed::Bytes => self.fill(conn).await?,
+                Needed::Bytes => fill(self, conn).await?,
                 Needed::Turn => smol::future::yield_now().await,
             }
         }
