--- a/src/standin/platform_store.rs
+++ b/src/standin/platform_store.rs
@@ -21,6 +21,9 @@
 /// Maximum size of a request's head and of its body, in bytes.
 const MAX_REQUEST_BYTES: usize = 4 << 20;
 
+/// Size from which on a response may be one that [`Faults::stalled_responses`] stops, in bytes.
+const MIN_STALLED_BYTES: usize = 100_000;
+
 /// State of the store at a time, from which it can come back.
 struct Copy {
     taken_at: Duration,
@@ -59,6 +62,8 @@
     /// Number of further watches whose responses are lost. Their connections stay open and return
     /// nothing further.
     pub lost_watches: Cell<u32>,
+    /// Number of further responses of 100 kB or more that stop in their middle, while the connection stays open.
+    pub stalled_responses: Cell<u32>,
     /// Number of connections, in the order in which they were accepted, that return nothing further.
     pub silent_connections: Cell<u32>,
     /// Number of further conditional writes that conflict, as with another writer's.
@@ -377,6 +382,12 @@
             false => format!("Store-Era: {named}\r\n"),
         };
         let bytes = format!("HTTP/1.1 {status} X\r\n{era}Content-Length: {len}\r\n\r\n{body}");
+        let stalled = self.faults.stalled_responses.get();
+        if bytes.len() >= MIN_STALLED_BYTES && stalled > 0 {
+            self.faults.stalled_responses.set(stalled - 1);
+            conn.write(&bytes.as_bytes()[..bytes.len() / 2]).await?;
+            std::future::pending::<()>().await;
+        }
         conn.write(bytes.as_bytes()).await?;
         Ok(true)
     }
