watches: don't end one whose response is arriving

A gateway behind a slow link read the same change twice: the leader of its group, on a faster link, reported the change, and 0.1 s and the store's response time later the watch that was delivering it was ended as behind.

The cause is that a change on its way and a change that is missing were the same. A watch whose response has begun is now left to the client of the store, which gives it up when it stops.

The same at a read: a change that was reported while an older state was being read counted as looked for and not found, so that nothing asked for it. It stays missing until a read or a watch reaches its revision.

a_large_change_crosses_a_slow_link_once_at_a_follower failed before (read once more) and leaves KNOWN-RED.txt; a_change_after_a_read_is_still_missing failed before as well.

--- a/src/coordination/configuration/confirmation.rs
+++ b/src/coordination/configuration/confirmation.rs
@@ -142,10 +142,10 @@
     ) {
         if self.era != era {
             self.not_found = 0;
-        } else if let Some(missing) = self.missing {
+            self.missing = None;
+        } else if let Some(missing) = self.missing.take_if(|it| it.last_change <= through) {
             self.not_found = self.not_found.max(missing.last_change);
         }
-        self.missing = None;
         self.era = era;
         self.through = through;
         self.last_change = through;
@@ -342,6 +342,8 @@
     /// prefix.judge(&leader.report(millis(400)).unwrap(), millis(400), millis(400));
     /// assert_eq!(prefix.step(false, short, quick, millis(400)), Step::WaitUntil(millis(505)));
     /// assert_eq!(prefix.step(false, short, quick, millis(505)), Step::End(End::Behind));
+    /// prefix.begin_response(millis(500));
+    /// assert_eq!(prefix.step(false, short, quick, millis(505)), Step::Wait);
     /// ```
     pub fn step(
         &self,
@@ -353,6 +355,10 @@
         let (Some(watch), Some(confirmed_at)) = (self.watch, self.confirmed_at) else {
             return Step::Wait;
         };
+        if watch.response_began.is_some() {
+            // It brings the change, and the client of the store gives it up if it stops.
+            return Step::Wait;
+        }
         if leads && watch.is_long {
             return Step::End(End::Leads);
         }
--- a/tests/confirmed_knowledge.rs
+++ b/tests/confirmed_knowledge.rs
@@ -80,3 +80,26 @@
         }
     }
 }
+
+/// Guards against forgetting a change that was reported while an older state was read.
+#[test]
+fn a_change_after_a_read_is_still_missing() {
+    let at = Duration::from_millis;
+    let (mut leader, mut own) = (Prefix::default(), Prefix::default());
+    own.record_read(1, 10, [("key", 3)].into_iter(), at(0));
+    leader.record_read(1, 10, [("key", 3)].into_iter(), at(0));
+    for revision in [11, 12] {
+        leader.record_watch(
+            [("key", Some(revision))].into_iter(),
+            revision,
+            revision,
+            at(100),
+        );
+        let report = leader.report(at(100)).unwrap();
+        assert_eq!(own.judge(&report, at(100), at(100)), Verdict::Behind);
+    }
+    own.record_read(1, 11, [("key", 11)].into_iter(), at(900));
+    assert_eq!(own.behind_since(), Some(at(100)));
+    own.record_read(1, 12, [("key", 12)].into_iter(), at(1700));
+    assert_eq!(own.behind_since(), None);
+}
--- a/tests/large_configuration.rs
+++ b/tests/large_configuration.rs
@@ -82,7 +82,6 @@
 
 /// Guards against a change that never arrives, as its transfer takes longer than a call may (CONFIG).
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn a_large_change_crosses_a_slow_link_once_at_a_follower() {
     play_change(2_000_000, true);
 }
