watches: read the newest value instead of all that were overtaken

A watch reports each version that was written since, in full. While versions follow each other faster than a link brings them, each response is longer than the one before: eleven versions of 0.67 MB within 1.1 s took 7.4 MB over a link of 10 Mbit/s, and the newest came last.

A gateway now reads the prefix when its leader has reported a further change, or when the announced length shows that a response holds two values or more, as long as the prefix has one key. A change that is reported during a read stays missing, and one that a later read does not bring is not looked for again, so that a report of what the store no longer has makes no gateway read for ever. The time since which a gateway is behind begins anew with the response that lacks the change.

--- a/src/coordination/configuration/confirmation.rs
+++ b/src/coordination/configuration/confirmation.rs
@@ -19,6 +19,15 @@
 /// Longest response time of the store that is allowed for. A slow store takes a quarter of a second.
 const SLOW_RESPONSE: Duration = Duration::from_millis(250);
 
+/// Size of values in bytes from which on a watch is weighed against a read.
+const MIN_LARGE_VALUE: u64 = 100_000;
+
+/// Size of a value in a response as a multiple of its own.
+const BASE64_GROWTH: f64 = 4.0 / 3.0;
+
+/// Values of the size of the last one from which on a response to a watch is not read. Two in a row may differ a little.
+const MAX_VALUES: f64 = 1.9;
+
 /// State of a prefix at a gateway, as it reports it to others.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, Serialize)]
 pub struct Report {
@@ -89,6 +98,8 @@
 struct Missing {
     last_change: u64,
     since: Duration,
+    /// Time at which the newest change was reported.
+    reported_at: Duration,
 }
 
 /// State of a prefix at a gateway.
@@ -99,6 +110,10 @@
     last_change: u64,
     /// Revisions of the keys, by the hash of the key.
     revisions: HashMap<u64, u64>,
+    /// Size of all values when they were last read or, for a single key, when it was last reported.
+    value_bytes: u64,
+    /// Time at which the last read was begun.
+    read_began: Duration,
     digest: u64,
     /// `None` until the prefix has been read.
     confirmed_at: Option<Duration>,
@@ -121,6 +136,16 @@
         self.confirmed_at
     }
 
+    /// Revision up to which all changes are known.
+    pub fn through(&self) -> u64 {
+        self.through
+    }
+
+    /// Whether the prefix has a single key.
+    pub fn has_one_key(&self) -> bool {
+        self.revisions.len() == 1
+    }
+
     /// Newest time at which the store answered a gateway whose report was received.
     pub fn reported_as_of(&self) -> Duration {
         self.reported_as_of
@@ -137,6 +162,22 @@
         self.digest = self.digest.wrapping_add(part(revision));
     }
 
+    /// Records that a read of the prefix begins.
+    pub fn begin_read(&mut self, now: Duration) {
+        self.read_began = now;
+    }
+
+    /// Records the size of the values that were read or reported.
+    pub fn record_size(&mut self, value_bytes: u64) {
+        self.value_bytes = value_bytes;
+    }
+
+    /// Whether a read brings less than a watch: the prefix has one key, so that a watch reports each of the values
+    /// that it has had since, and at least one is known to be missing.
+    pub fn reads_less(&self) -> bool {
+        self.missing.is_some() && self.has_one_key()
+    }
+
     /// Records that the prefix was read: its keys and their revisions, and the revision of the store.
     ///
     /// A read does not show whether keys were deleted before it, so any change up to it is possible.
@@ -150,8 +191,15 @@
         if self.era != era {
             self.not_found = 0;
             self.missing = None;
-        } else if let Some(missing) = self.missing.take_if(|it| it.last_change <= through) {
-            self.not_found = self.not_found.max(missing.last_change);
+        } else if let Some(missing) = &mut self.missing {
+            // One that was reported meanwhile may be newer than what was read.
+            let is_newer = missing.last_change > through && missing.reported_at >= self.read_began;
+            if is_newer {
+                missing.since = missing.since.max(self.read_began);
+            } else {
+                self.not_found = self.not_found.max(missing.last_change);
+                self.missing = None;
+            }
         }
         self.era = era;
         self.through = through;
@@ -180,6 +228,11 @@
         self.last_change = self.last_change.max(newest);
         self.through = self.through.max(through);
         self.missing = self.missing.filter(|it| it.last_change > self.through);
+        let began = self.watch.and_then(|it| it.response_began);
+        if let (Some(missing), Some(began)) = (&mut self.missing, began) {
+            // What the response does not hold was written after it.
+            missing.since = missing.since.max(began);
+        }
         self.confirmed_at = Some(now);
         self.watch = None;
     }
@@ -232,9 +285,15 @@
             return Verdict::Confirmed;
         }
         if report.last_change > self.not_found {
-            let last_change = report.last_change;
-            let since = self.missing.map_or(now, |it| it.since);
-            self.missing = Some(Missing { last_change, since });
+            let missing = self.missing.get_or_insert(Missing {
+                last_change: report.last_change,
+                since: now,
+                reported_at: now,
+            });
+            if report.last_change > missing.last_change {
+                missing.last_change = report.last_change;
+                missing.reported_at = now;
+            }
         }
         Verdict::Behind
     }
@@ -294,11 +353,27 @@
         wait
     }
 
-    /// Records that the response to the watch in progress began to arrive.
-    pub fn begin_response(&mut self, now: Duration) {
+    /// Records that the response to the watch in progress began to arrive. Returns whether it is worth reading: one
+    /// that is about as long as two values of a prefix with one key holds values that were overtaken, and a read
+    /// brings the newest alone.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use fulmarproxy::coordination::configuration::confirmation::Prefix;
+    /// let mut prefix = Prefix::default();
+    /// let now = Duration::from_secs(1);
+    /// prefix.record_read(1, 10, [("objects/current", 10)].into_iter(), now);
+    /// prefix.record_size(900_000);
+    /// assert!(prefix.begin_response(Some(1_250_000), now), "a third more than the value, in base64");
+    /// assert!(!prefix.begin_response(Some(2_500_000), now));
+    /// ```
+    pub fn begin_response(&mut self, announced: Option<u64>, now: Duration) -> bool {
         if let Some(watch) = &mut self.watch {
             watch.response_began = Some(now);
         }
+        let encoded = self.value_bytes as f64 * BASE64_GROWTH;
+        let is_long = announced.is_some_and(|bytes| bytes as f64 >= encoded * MAX_VALUES);
+        !(is_long && self.value_bytes >= MIN_LARGE_VALUE && self.has_one_key())
     }
 
     /// Whether the response to the watch in progress has begun to arrive.
@@ -317,7 +392,7 @@
     /// prefix.record_read(1, 10, [].into_iter(), millis(0));
     /// prefix.begin_watch(&Prefix::default(), false, millis(1500), millis(0));
     /// assert_eq!(prefix.behind_since(), None);
-    /// prefix.begin_response(millis(700));
+    /// prefix.begin_response(None, millis(700));
     /// assert_eq!(prefix.behind_since(), Some(millis(700)));
     /// prefix.record_watch([("objects/current", Some(11))].into_iter(), 11, 11, millis(900));
     /// assert_eq!(prefix.behind_since(), None);
@@ -350,7 +425,7 @@
     /// prefix.judge(&leader.report(millis(400)).unwrap(), millis(400), millis(400));
     /// assert_eq!(prefix.step(false, short, quick, millis(400)), Step::WaitUntil(millis(505)));
     /// assert_eq!(prefix.step(false, short, quick, millis(505)), Step::End(End::Behind));
-    /// prefix.begin_response(millis(500));
+    /// prefix.begin_response(None, millis(500));
     /// assert_eq!(prefix.step(false, short, quick, millis(505)), Step::Wait);
     /// ```
     pub fn step(
--- a/src/gateway/config_sync.rs
+++ b/src/gateway/config_sync.rs
@@ -32,6 +32,7 @@
 /// Reads the configuration and then watches it for changes, until the configuration must be read
 /// again: the store has dropped the history of changes, or the watch was ended.
 async fn sync(gw: &core::Gateway) -> Result<(), store::StoreError> {
+    watching::begin_read(gw, Part::Configuration);
     let read = gw.store.range(configuration::PREFIX, false).await?;
     for item in &read.items {
         apply(gw, item);
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -44,6 +44,7 @@
 /// may have been unreachable since.
 async fn sync(gw: &Rc<core::Gateway>, was_unreachable: &mut bool) -> Result<(), store::StoreError> {
     let known_era = gw.era_notes.directory.get();
+    watching::begin_read(gw, Part::Servers);
     let read = gw.store.range(servers::PREFIX, false).await?;
     let era = gw.store.era();
     gw.era_notes.directory.set(era);
--- a/src/gateway/watch_notes.rs
+++ b/src/gateway/watch_notes.rs
@@ -131,10 +131,11 @@
         prefix.begin_watch(&other, self.leads(), short, now)
     }
 
-    /// Records that the response to the watch of a prefix began to arrive.
-    pub fn begin_response(&self, part: Part, now: Duration) {
-        self.prefix(part).borrow_mut().begin_response(now);
+    /// Records that the response to the watch of a prefix began to arrive; returns whether it is worth reading.
+    pub fn begin_response(&self, part: Part, announced: Option<u64>, now: Duration) -> bool {
         self.changed.notify(usize::MAX);
+        let mut prefix = self.prefix(part).borrow_mut();
+        prefix.begin_response(announced, now)
     }
 
     /// Waits until the watch of a prefix must be ended; returns why. `response_time` is that of the
--- a/src/gateway/watching.rs
+++ b/src/gateway/watching.rs
@@ -54,12 +54,20 @@
     },
 }
 
+/// Records that a read of a prefix begins.
+pub fn begin_read(gw: &core::Gateway, part: Part) {
+    let now = gw.now();
+    gw.watch_notes.prefix(part).borrow_mut().begin_read(now);
+}
+
 /// Records that a prefix was read.
 pub fn record_read(gw: &core::Gateway, part: Part, read: &store::Items) {
     let items = read.items.iter();
     let items = items.map(|item| (item.key.as_str(), item.revision));
+    let value_bytes: usize = read.items.iter().map(|item| item.value.len()).sum();
     let mut prefix = gw.watch_notes.prefix(part).borrow_mut();
     prefix.record_read(gw.store.era(), read.store_revision, items, gw.now());
+    prefix.record_size(value_bytes as u64);
     drop(prefix);
     gw.watch_notes.record_change();
 }
@@ -70,6 +78,10 @@
     changes: &[store::Change],
     revisions: store::WatchRevisions,
 ) {
+    let newest_value = changes.iter().rev().find_map(|change| match change {
+        store::Change::Written(item) => Some(item.value.len() as u64),
+        store::Change::Deleted(_) => None,
+    });
     let changes = changes.iter().map(|change| match change {
         store::Change::Written(item) => (item.key.as_str(), Some(item.revision)),
         store::Change::Deleted(key) => (key.as_str(), None),
@@ -77,6 +89,9 @@
     let store::WatchRevisions { newest, through } = revisions;
     let mut prefix = gw.watch_notes.prefix(part).borrow_mut();
     prefix.record_watch(changes, newest, through, gw.now());
+    if let Some(value_bytes) = newest_value.filter(|_| prefix.has_one_key()) {
+        prefix.record_size(value_bytes);
+    }
     drop(prefix);
     gw.watch_notes.record_change();
 }
@@ -98,9 +113,12 @@
             // Revisions of another era say nothing about this one.
             return Ok(Watched::ReadAgain { is_behind: false });
         }
+        if gw.watch_notes.prefix(part).borrow().reads_less() {
+            return Ok(read_newest(gw, part, "reported"));
+        }
         let short = gw.watch_wait();
         let wait = gw.watch_notes.begin_watch(part, short, gw.now());
-        let began = || gw.watch_notes.begin_response(part, gw.now());
+        let began = |announced| gw.watch_notes.begin_response(part, announced, gw.now());
         let watching = async { Ok(gw.store.watch(path_prefix, after, wait, &began).await) };
         let response_time = || gw.store.response_time();
         let ended = gw
@@ -110,6 +128,9 @@
         let end = match smol::future::or(watching, ended).await {
             Ok(answered) => {
                 let outcome = answered?;
+                if outcome == store::WatchOutcome::NotRead {
+                    return Ok(read_newest(gw, part, "length"));
+                }
                 if let store::WatchOutcome::Changes(changes, revisions) = &outcome {
                     record_watch(gw, part, changes, *revisions);
                 }
@@ -133,6 +154,20 @@
     }
 }
 
+/// Has a prefix read of which a watch would report overtaken values.
+fn read_newest(gw: &core::Gateway, part: Part, reason: &'static str) -> Watched {
+    counter!("fulmar_gateway_watches_overtaken_total", "part" => part.name(), "reason" => reason)
+        .increment(1);
+    let through = gw.watch_notes.prefix(part).borrow().through();
+    tracing::info!(
+        part = part.name(),
+        reason,
+        through,
+        "watches: reads the newest value alone"
+    );
+    Watched::ReadAgain { is_behind: true }
+}
+
 /// Starts the task that keeps a call open at the leader of this gateway's group.
 pub fn start(gw: &Rc<core::Gateway>) {
     let following = gw.clone();
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -125,6 +125,8 @@
     /// The store no longer has the history from the requested revision on; the items must be read
     /// again.
     HistoryLost,
+    /// The response was not read, as [`Store::watch`] was told.
+    NotRead,
 }
 
 /// A conditional write, applied as a whole or not at all.
@@ -220,8 +222,8 @@
     body: Option<&'a [u8]>,
     /// Time within which the response must begin on a link without delay.
     timeout: Duration,
-    /// Called when the head of a response has arrived.
-    began: &'a dyn Fn(),
+    /// Called with the announced length when the head of a response has arrived; returns whether the rest is read.
+    began: &'a dyn Fn(Option<u64>) -> bool,
 }
 
 impl<'a> Call<'a> {
@@ -232,7 +234,7 @@
             path,
             body: None,
             timeout: CALL_TIMEOUT,
-            began: &|| (),
+            began: &|_| true,
         }
     }
 
@@ -303,17 +305,30 @@
 
 struct Response {
     status: u16,
-    body: Vec<u8>,
+    /// Body; `None` if it was not read.
+    body: Option<Vec<u8>>,
     named_era: era::Named,
     /// Whether the response belongs to the newest era known.
     verdict: era::Verdict,
 }
 
+impl Response {
+    fn without_body(head: &head::ResponseHead) -> Self {
+        Self {
+            status: head.status,
+            body: None,
+            named_era: headers::store_era(head),
+            verdict: era::Verdict::Current,
+        }
+    }
+}
+
 fn parse<'a, T: Deserialize<'a>>(
     call: &'static str,
     response: &'a Response,
 ) -> Result<T, StoreError> {
-    let parsed = serde_json::from_slice(&response.body);
+    let body = response.body.as_deref().unwrap_or_default();
+    let parsed = serde_json::from_slice(body);
     parsed.map_err(|err| no_response(call, err.to_string()))
 }
 
@@ -453,7 +468,7 @@
     }
 
     /// Waits at most `wait` for changes of keys that start with a prefix, after revision `after`. `began` is
-    /// called when the head of the response has arrived.
+    /// called with the announced length when the head of the response has arrived, and returns whether to read it.
     ///
     /// # Errors
     ///
@@ -463,7 +478,7 @@
         prefix: &str,
         after: u64,
         wait: Duration,
-        began: &dyn Fn(),
+        began: &dyn Fn(Option<u64>) -> bool,
     ) -> Result<WatchOutcome, StoreError> {
         const CALL: &str = WATCH;
         let path = format!(
@@ -490,6 +505,7 @@
             return Ok(WatchOutcome::HistoryLost);
         }
         match response.status {
+            200 if response.body.is_none() => Ok(WatchOutcome::NotRead),
             200 => {
                 let events: WireEvents = parse(CALL, &response)?;
                 let through = events.store_revision;
@@ -764,7 +780,9 @@
             arrival.begin(reader.missing(), now, limit());
             arrival.record(conn.unread().len() as u64, now, limit());
         });
-        (req.began)();
+        if !(req.began)(reader.missing()) {
+            return Ok(Response::without_body(&response));
+        }
         let fill = async |body: &mut body::Body, conn: &mut conn::Conn| {
             let before = conn.unread().len();
             let filled = arriving.within(body.fill(conn)).await;
@@ -783,10 +801,8 @@
             self.pool.borrow_mut().put(address, conn, until);
         }
         Ok(Response {
-            status: response.status,
-            body: response_body,
-            named_era: headers::store_era(&response),
-            verdict: era::Verdict::Current,
+            body: Some(response_body),
+            ..Response::without_body(&response)
         })
     }
 
--- a/tests/confirmed_knowledge.rs
+++ b/tests/confirmed_knowledge.rs
@@ -81,25 +81,55 @@
     }
 }
 
-/// Guards against forgetting a change that was reported while an older state was read.
-#[test]
-fn a_change_after_a_read_is_still_missing() {
+/// A follower that has read revision 10 and has not revision 12, which was reported at 100 ms.
+fn behind() -> (Prefix, Prefix) {
     let at = Duration::from_millis;
     let (mut leader, mut own) = (Prefix::default(), Prefix::default());
     own.record_read(1, 10, [("key", 3)].into_iter(), at(0));
     leader.record_read(1, 10, [("key", 3)].into_iter(), at(0));
     for revision in [11, 12] {
-        leader.record_watch(
-            [("key", Some(revision))].into_iter(),
-            revision,
-            revision,
-            at(100),
-        );
+        let change = [("key", Some(revision))].into_iter();
+        leader.record_watch(change, revision, revision, at(100));
         let report = leader.report(at(100)).unwrap();
         assert_eq!(own.judge(&report, at(100), at(100)), Verdict::Behind);
     }
+    (leader, own)
+}
+
+/// Guards against forgetting a change that was reported while an older state was read.
+#[test]
+fn a_change_after_a_read_is_still_missing() {
+    let at = Duration::from_millis;
+    let (_, mut own) = behind();
+    own.begin_read(at(90));
     own.record_read(1, 11, [("key", 11)].into_iter(), at(900));
     assert_eq!(own.behind_since(), Some(at(100)));
+    assert!(own.reads_less(), "a watch brings revision 12 at best");
+    own.begin_read(at(900));
     own.record_read(1, 12, [("key", 12)].into_iter(), at(1700));
     assert_eq!(own.behind_since(), None);
 }
+
+/// Guards against reading for ever what the store does not have.
+#[test]
+fn a_reported_change_that_a_later_read_does_not_bring_is_not_looked_for_again() {
+    let at = Duration::from_millis;
+    let (leader, mut own) = behind();
+    own.begin_read(at(110));
+    own.record_read(1, 11, [("key", 11)].into_iter(), at(200));
+    assert_eq!(own.behind_since(), None);
+    let report = leader.report(at(300)).unwrap();
+    assert_eq!(own.judge(&report, at(300), at(300)), Verdict::Behind);
+    assert_eq!(own.behind_since(), None);
+}
+
+/// Guards against counting the time since the first of many changes when most of them have arrived.
+#[test]
+fn a_gateway_is_behind_since_the_response_that_lacks_the_change() {
+    let at = Duration::from_millis;
+    let (_, mut own) = behind();
+    own.begin_watch(&Prefix::default(), false, at(1500), at(0));
+    assert!(own.begin_response(None, at(700)));
+    own.record_watch([("key", Some(11))].into_iter(), 11, 11, at(900));
+    assert_eq!(own.behind_since(), Some(at(700)));
+}
--- a/tests/large_configuration.rs
+++ b/tests/large_configuration.rs
@@ -168,3 +168,32 @@
         assert_eq!(status(front, "/added-1/").await, 200);
     });
 }
+
+/// Plays versions in quick succession at a gateway behind a slow link.
+fn play_storm(follows: bool) {
+    run_test(&large(1, 500_000), async |env| {
+        let link = SlowLink::new(LINK);
+        let gw = start_slow(&env, &link, follows).await;
+        let passed = link.passed_to_vm();
+        for version in 2..=12 {
+            publish(&env, &large(version, 500_000));
+            env.sleep(100).await;
+        }
+        env.until(|_| version(&gw) == 12).await;
+        let one = large(1, 500_000).to_string().len() as u64 * 4 / 3;
+        let passed = link.passed_to_vm() - passed;
+        assert!(passed < 6 * one, "{passed} bytes for versions of {one}");
+    });
+}
+
+/// Guards against reading each of many versions in full, each later than the one before (CONFIG).
+#[test]
+fn versions_that_were_overtaken_are_not_read_by_a_follower() {
+    play_storm(true);
+}
+
+/// Guards against the same at a gateway that has nobody's reports.
+#[test]
+fn versions_that_were_overtaken_are_not_read_by_a_leader() {
+    play_storm(false);
+}
