gateway: a response that was reset during an upload is not complete

A caller got a part of a body as a complete answer: the server answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. 11 of 12 requests on a route that may not be repeated ended so, and 10 of 12 streams, with uploads of 4 MB; none with 60 kB.

The kernel reports a reset to one call only. The write took it, its error was dropped, and the next read on the same socket found the buffered bytes and then the end that a proper close has. Whether the server lives, which is checked then, says nothing about a reset.

The failure of the write now reaches the body, whose end the close then does not mark. Beside that, each body that ends with its connection asks whether the socket still has a peer, which it has not after a reset, whichever call took the error; this covers the store's, the peers' and fulmarctl's readers too.

a_body_that_is_reset_during_an_upload_is_not_complete and a_stream_that_is_reset_during_an_upload_is_not_complete failed before.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -173,7 +173,7 @@
     let earlier = conn.history().sends();
     let sent_at = gw.now();
     conn.begin_exchange(&req.id);
-    let (sent_whole, received_head) = send_and_read(&mut conn, head, &req.body, &req.id).await;
+    let (sent, received_head) = send_and_read(&mut conn, head, &req.body, &req.id).await;
     let (head, discarded) = received_head.map_err(|err| {
         counter!("fulmar_gateway_attempt_failures_total", "reason" => failure_reason(&err))
             .increment(1);
@@ -199,12 +199,17 @@
     let framing = body::response_framing(&head, &req.head.method)
         .map_err(|err| AttemptError::MayHaveRun(err.to_string()))?;
     // A second copy of a response that names no request would meet the next one.
+    let sent_whole = sent == Sent::Whole;
     let reusable = sent_whole && is_named && head.keeps_alive() && framing != body::Framing::Close;
+    let mut body = body::Body::new(framing);
+    if sent == Sent::Failed {
+        body.record_failure();
+    }
     Ok(Response {
         server: server.clone(),
         head,
         framing,
-        body: body::Body::new(framing),
+        body,
         conn,
         evidence,
         sent_whole,
@@ -305,15 +310,23 @@
     }
 }
 
+/// How much of a request was sent when its response began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Sent {
+    Whole,
+    Partly,
+    /// The connection failed meanwhile.
+    Failed,
+}
+
 /// Sends a request and reads the head of the response at the same time, since a server may respond
-/// before it has read a long body. Returns whether the whole request was sent, and the head as
-/// [`read_own_response`] does.
+/// before it has read a long body. Returns how much was sent, and the head as [`read_own_response`] does.
 async fn send_and_read(
     conn: &mut server_conn::ServerConn,
     head: Vec<u8>,
     body: &[u8],
     id: &str,
-) -> (bool, Result<(head::ResponseHead, u32), fault::Fault>) {
+) -> (Sent, Result<(head::ResponseHead, u32), fault::Fault>) {
     let mut writer = conn::Conn::new(conn.reader().socket());
     let sending = std::pin::pin!(async {
         writer.write(&head).await?;
@@ -324,10 +337,14 @@
     });
     let reading = std::pin::pin!(read_own_response(conn, id));
     match future::select(sending, reading).await {
-        future::Either::Left((Ok(()), reading)) => (true, reading.await),
+        future::Either::Left((Ok(()), reading)) => (Sent::Whole, reading.await),
         // The server may have responded before it closed the connection.
-        future::Either::Left((Err(_), reading)) => (false, reading.await),
-        future::Either::Right((response, _)) => (false, response),
+        future::Either::Left((Err(err), reading)) => {
+            counter!("fulmar_gateway_uploads_broken_total").increment(1);
+            tracing::debug!(id, %err, "exchange: the connection failed while a request was sent");
+            (Sent::Failed, reading.await)
+        }
+        future::Either::Right((response, _)) => (Sent::Partly, response),
     }
 }
 
--- a/src/transport/h1/body.rs
+++ b/src/transport/h1/body.rs
@@ -59,6 +59,8 @@
     framing: Framing,
     chunk_state: ChunkState,
     done: bool,
+    /// Whether the connection is known to have failed, so that its close marks no end.
+    has_failed: bool,
     /// Bytes of chunk framing and of content so far; counted only for chunked bodies.
     framing_bytes: u64,
     content_bytes: u64,
@@ -155,11 +157,17 @@
             framing,
             chunk_state: ChunkState::Size,
             done: framing == Framing::Length(0),
+            has_failed: false,
             framing_bytes: 0,
             content_bytes: 0,
         }
     }
 
+    /// Records that the connection has failed for another call. A body that would end with it is cut off then.
+    pub fn record_failure(&mut self) {
+        self.has_failed = true;
+    }
+
     /// Bytes of an announced length that have not been read; `None` without one.
     pub fn missing(&self) -> Option<u64> {
         match self.framing {
@@ -311,7 +319,7 @@
             return Ok(());
         }
         match self.framing {
-            Framing::Close => {
+            Framing::Close if !self.has_failed && !conn.is_reset() => {
                 self.done = true;
                 Ok(())
             }
--- a/src/transport/h1/conn.rs
+++ b/src/transport/h1/conn.rs
@@ -167,6 +167,13 @@
         matches!(peeked, Some(Ok(0) | Err(_)))
     }
 
+    /// Whether the peer has reset the connection. The kernel reports a reset to one call only, after which a read
+    /// on any handle to the socket finds the end that a proper close has; but the socket has no peer any more.
+    pub fn is_reset(&self) -> bool {
+        let socket = socket2::SockRef::from(&self.stream);
+        !matches!(socket.take_error(), Ok(None)) || socket.peer_addr().is_err()
+    }
+
     /// Whether an idle connection can be used for another request: the peer has neither sent
     /// surplus bytes nor closed it.
     pub fn is_reusable(&self) -> bool {
--- /dev/null
+++ b/tests/broken_answers.rs
@@ -0,0 +1,97 @@
+//! Responses of backend servers that break off during an upload.
+
+mod gateway_world;
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    thread,
+    time::Duration,
+};
+
+use gateway_world::{TestEnv, configuration, run_test};
+use serde_json::{Value, json};
+
+const AMPLE_BUDGET: u64 = 100_000_000;
+
+/// Size of an upload that the buffers of the kernel do not hold, and of one that they do.
+const LONG_UPLOAD: usize = 4_000_000;
+const SHORT_UPLOAD: usize = 60_000;
+
+/// Requests sent for each case. The fault depends on which of two calls meets the reset.
+const PLAYS: usize = 12;
+
+const EVENT: &str = "id: 0\ndata: word\n\n";
+
+fn uploads_allowed() -> Value {
+    let mut whole = configuration(1, AMPLE_BUDGET, 5000);
+    whole["limits"]["max_body_bytes"] = json!(2 * LONG_UPLOAD);
+    whole
+}
+
+/// Answers each request at once with a part of a body that has no length, and resets the connection after a delay.
+fn start_resetting_server(head: &'static str, part: &'static str, delay: Duration) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let answer = move |mut conn: TcpStream| {
+        let mut received = Vec::new();
+        while !received.windows(4).any(|found| found == b"\r\n\r\n") {
+            let mut bytes = [0; 512];
+            match conn.read(&mut bytes) {
+                Ok(len) if len > 0 => received.extend_from_slice(&bytes[..len]),
+                _ => return,
+            }
+        }
+        let _ = conn.write_all(format!("HTTP/1.1 200 OK\r\n{head}\r\n{part}").as_bytes());
+        thread::sleep(delay);
+        let socket = socket2::Socket::from(conn);
+        socket.set_linger(Some(Duration::ZERO)).unwrap();
+    };
+    thread::spawn(move || {
+        for conn in listener.incoming().flatten() {
+            thread::spawn(move || answer(conn));
+        }
+    });
+    address
+}
+
+/// Number of complete successes that callers get of a server that resets uploads.
+async fn complete_successes(env: &TestEnv, path: &str, upload: usize) -> usize {
+    let body = "x".repeat(upload);
+    let mut found = 0;
+    for _ in 0..PLAYS {
+        let response = env.send("POST", path, "", &body).await;
+        found += usize::from(response.whole && response.status < 300);
+        // A server that failed is left out for a while, and a test is not to wait for it.
+        *env.gw.ejection.borrow_mut() = Default::default();
+    }
+    found
+}
+
+fn play_resets(service: &str, path: &str, head: &'static str, part: &'static str) {
+    for upload in [LONG_UPLOAD, SHORT_UPLOAD] {
+        for delay in [0, 1, 5].map(Duration::from_millis) {
+            run_test(&uploads_allowed(), async |env| {
+                let server = start_resetting_server(head, part, delay);
+                env.list_server(service, server).await;
+                let found = complete_successes(&env, path, upload).await;
+                assert_eq!(found, 0, "{upload} bytes, reset after {delay:?}");
+            });
+        }
+    }
+}
+
+/// Guards against a part of a body as a complete answer, when the server resets the connection during the upload
+/// (MIXED).
+#[test]
+fn a_body_that_is_reset_during_an_upload_is_not_complete() {
+    let head = "X-Request-Id: r1\r\nX-Response-Signature: s\r\n";
+    play_resets("plain", "/book/", head, "part");
+}
+
+/// Guards against the same of a stream.
+#[test]
+fn a_stream_that_is_reset_during_an_upload_is_not_complete() {
+    let head = "X-Request-Id: r1\r\nX-Response-Signature: s\r\nContent-Type: text/event-stream\r\n";
+    play_resets("model", "/draft/", head, EVENT);
+}
