--- a/src/coordination/configuration.rs
+++ b/src/coordination/configuration.rs
@@ -6,6 +6,7 @@
 
 pub mod arrival;
 pub mod confirmation;
+pub mod fetch_batch;
 pub mod leader_choice;
 pub mod staleness;
 pub mod watch_groups;
--- a/src/router/config_sync.rs
+++ b/src/router/config_sync.rs
@@ -4,7 +4,7 @@
 //! fetch them there or from the store.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     sync::{
         Arc, Mutex,
         atomic::{AtomicU64, Ordering},
@@ -16,7 +16,7 @@
 use metrics::counter;
 
 use crate::{
-    coordination::{config_chunks, history},
+    coordination::{config_chunks, configuration::fetch_batch, history},
     error,
     protocol::{kv, messages},
     router::{Router, gossip},
@@ -68,6 +68,9 @@
     /// Allows one update at a time.
     fetch_lock: smol::lock::Mutex<()>,
     history: Mutex<history::History>,
+    /// Chunks of a version that are not in force yet, by digest.
+    fetched: Mutex<HashMap<String, object_set::ObjectSet>>,
+    fetch_batch: Mutex<fetch_batch::FetchBatch>,
     /// Time of the last answer of the store or a peer.
     last_contact: Mutex<timers::Now>,
     /// Last error of the store, shown while no configuration has been read.
@@ -86,6 +89,8 @@
             newest_source: Mutex::default(),
             fetch_lock: smol::lock::Mutex::new(()),
             history: Mutex::default(),
+            fetched: Mutex::default(),
+            fetch_batch: Mutex::new(fetch_batch::FetchBatch::new(store::MAX_KEYS_PER_CALL)),
             last_contact: Mutex::default(),
             last_failure: Mutex::default(),
             behind_since: Mutex::default(),
@@ -291,29 +296,51 @@
     }
     let known = |digest: &str| current.snapshot.chunks.contains_key(digest);
     let missing = config_chunks::missing_digests(head, known);
-    let found = fetch_chunks(router, &missing).await?;
+    fetch_chunks(router, &missing).await?;
+    let fetched = std::mem::take(&mut *router.config_sync.fetched.lock().unwrap());
     let chunks = current
         .snapshot
-        .collect(head, |digest| found.get(digest).cloned())?;
+        .collect(head, |digest| fetched.get(digest).cloned())?;
     let head = head.clone();
     activate(router, history::Snapshot { head, chunks });
     Ok(())
 }
 
-async fn fetch_chunks(
+/// Fetches the missing chunks. What has arrived is kept when a call fails, and not fetched again.
+async fn fetch_chunks(router: &Router, missing: &[String]) -> Result<(), error::Error> {
+    let sync = &router.config_sync;
+    let wanted: Vec<String> = {
+        let named: HashSet<&String> = missing.iter().collect();
+        let mut fetched = sync.fetched.lock().unwrap();
+        fetched.retain(|digest, _| named.contains(digest));
+        let is_left = |digest: &&String| !fetched.contains_key(*digest);
+        missing.iter().filter(is_left).cloned().collect()
+    };
+    let mut left = &wanted[..];
+    while !left.is_empty() {
+        let size = sync.fetch_batch.lock().unwrap().size();
+        let (digests, rest) = left.split_at(size.min(left.len()));
+        let read = read_chunks(router, digests).await;
+        sync.fetch_batch.lock().unwrap().record(read.is_ok());
+        sync.fetched.lock().unwrap().extend(read?);
+        left = rest;
+    }
+    Ok(())
+}
+
+/// Reads chunks in one call.
+async fn read_chunks(
     router: &Router,
-    missing: &[String],
+    digests: &[String],
 ) -> Result<HashMap<String, object_set::ObjectSet>, error::Error> {
-    if missing.is_empty() {
-        return Ok(HashMap::new());
-    }
     let key = |digest: &String| format!("{}{digest}", store::CHUNK_PREFIX);
-    let keys: Vec<_> = missing.iter().map(key).collect();
+    let keys: Vec<_> = digests.iter().map(key).collect();
     let read = router.store.get_many(&keys);
     let read = router.runtime.timers.within(FETCH_TIMEOUT, read).await;
     let found = read.unwrap_or_else(|| Err(no_answer("get")))?;
+    note_contact(router);
     let mut chunks = HashMap::new();
-    for digest in missing {
+    for digest in digests {
         if let Some(kv) = found.get(&key(digest)) {
             history::verify(digest, &kv.value.0)?;
             chunks.insert(digest.clone(), kv::decode(kv)?);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -172,7 +172,10 @@
             .args(["--vms", &self.platform_url("/vms")])
             .args(extra);
         if role == "router" {
-            command.args(["--listen", ANY_PORT, "--store", &self.platform_url("")]);
+            command.args(["--listen", ANY_PORT]);
+            if !extra.contains(&"--store") {
+                command.args(["--store", &self.platform_url("")]);
+            }
         }
         let mut child = command.spawn().unwrap();
         let line = first_line(&mut child);
--- a/tests/publishing.rs
+++ b/tests/publishing.rs
@@ -4,6 +4,7 @@
 
 use std::{path::Path, process::Command};
 
+use common::slow_link::SlowLink;
 use fulmarproxy::{ctl, state::object_set, transport::http, transport::store};
 use serde_json::{Value, json};
 
@@ -193,3 +194,33 @@
     let (code, text) = fulmarctl(&fleet, &[&["drain", "backend-0"][..], &reach].concat());
     assert_eq!(code, 0, "{text}");
 }
+
+/// Guards against a router that never has a configuration, as its transfer takes longer than a call may.
+#[test]
+fn a_router_behind_a_slow_link_reads_a_large_set() {
+    const WORKSPACES: usize = 3_000;
+    const LINK: u32 = 250_000;
+    let fleet = common::Fleet::start("haugland");
+    let mut set = example_set();
+    let template = set.workspaces["fjordforlaget"].clone();
+    for number in 0..WORKSPACES {
+        let mut workspace = template.clone();
+        workspace.name = format!("added-{number}").as_str().into();
+        workspace.keys = (0..4)
+            .map(|_| format!("{:064x}", fastrand::u128(..)))
+            .collect();
+        set.workspaces.insert(workspace.name.clone(), workspace);
+    }
+    smol::block_on(ctl::publish_set(&store(&fleet), &set, None)).unwrap();
+    let link = SlowLink::new(LINK);
+    let url = format!(
+        "http://{}",
+        link.outward(fleet.platform.address.parse().unwrap())
+    );
+    let router = fleet.start_daemon("router", "entry-0", "a", &["--store", &url]);
+    let status = format!("http://{}/status", router.admin_address);
+    common::wait_for("the set to be in force", || {
+        let found: Result<Value, _> = smol::block_on(http::get(&fleet.client, "status", &status));
+        found.is_ok_and(|found| found["config"] == 2)
+    });
+}
