gateway: connects that time out over the own slow link exclude no server

A connection attempt that times out while the delay at the own VM is high counts against nobody, as calls to the store and to peers do. Tried and dropped: a longer limit for such attempts, as for those calls; four of them took longer than the route's timeout, and the caller got 504, which promises nothing, in place of 503.

connects_that_time_out_over_the_own_slow_link_exclude_no_server failed before (the server was excluded after three requests).

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -1,6 +1,6 @@
 //! One attempt at a request: sends it to a backend server and reads the head of the response.
 
-use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
+use std::{cell::Cell, io::ErrorKind, rc::Rc, sync::Arc, time::Duration};
 
 use derive_more::Display;
 use futures::future;
@@ -84,6 +84,8 @@
 pub enum AttemptError {
     /// The request did not run because no connection could be opened.
     NotRun(String),
+    /// As [`Self::NotRun`], because the own link is slow, which says nothing about the server.
+    LinkSlow(String),
     /// The request was sent, at least in part, and may have run.
     MayHaveRun(String),
     /// As [`Self::MayHaveRun`], and the server ended the connection.
@@ -149,7 +151,14 @@
         .map_err(|err| {
             counter!("fulmar_gateway_attempt_failures_total", "reason" => "no_connection")
                 .increment(1);
-            AttemptError::NotRun(format!("no connection: {err}"))
+            let cause = format!("no connection: {err}");
+            match err.kind() == ErrorKind::TimedOut && gw.round_trips.is_slow() {
+                true => {
+                    counter!("fulmar_gateway_late_timeouts_total", "call" => "server").increment(1);
+                    AttemptError::LinkSlow(cause)
+                }
+                false => AttemptError::NotRun(cause),
+            }
         })?;
     if !gw.announcements.borrow().admits(server, gw.now()) {
         // Another response said so while this request waited for its connection.
--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -100,6 +100,7 @@
         let isolation = crash_reports::IsolationGuard::new(gw, server, &req.outgoing.keys);
         let end = try_server(gw, caller, req, &placed, log, stream, close).await;
         let now = gw.now();
+        let is_blamed = !matches!(end, AttemptOutcome::LinkSlow(_));
         let (cause, not_run) = match end {
             AttemptOutcome::Done(status) => {
                 let took = gw.now().saturating_sub(started);
@@ -117,7 +118,7 @@
             AttemptOutcome::CallerGone(cause) => {
                 return Err(request_error::RequestError::Aborted(cause));
             }
-            AttemptOutcome::NotRun(cause) => (cause, true),
+            AttemptOutcome::NotRun(cause) | AttemptOutcome::LinkSlow(cause) => (cause, true),
             AttemptOutcome::Failed(cause) => (cause, false),
             AttemptOutcome::Disconnected(cause) => {
                 if crash_reports::has_crashed(gw, server).await {
@@ -138,7 +139,7 @@
         drop(isolation);
         // A server that says when it can be used again needs no guess at that time.
         let opens_at = gw.announcements.borrow().opens_at(server, now);
-        if opens_at.is_none() {
+        if opens_at.is_none() && is_blamed {
             gw.ejection.borrow_mut().record_failure(&server.id, now);
         }
         if log.may_log_failure() {
@@ -223,6 +224,8 @@
     CallerGone(String),
     /// The attempt failed and the request certainly did not run.
     NotRun(String),
+    /// As [`Self::NotRun`], through no fault of the server.
+    LinkSlow(String),
     /// The attempt failed and the request may have run.
     Failed(String),
     /// As [`Self::Failed`], and the server ended the connection.
@@ -250,12 +253,16 @@
     let sent = exchange::attempt(gw, &req.outgoing, placed, left, last_event.as_deref()).await;
     let not_run = match &sent {
         Ok(response) => headers::was_not_executed(&response.head),
-        Err(failure) => matches!(failure, exchange::AttemptError::NotRun(_)),
+        Err(failure) => matches!(
+            failure,
+            exchange::AttemptError::NotRun(_) | exchange::AttemptError::LinkSlow(_)
+        ),
     };
     stream.meter.record_send_result(!not_run);
     let mut response = match sent {
         Ok(response) => response,
         Err(exchange::AttemptError::NotRun(cause)) => return AttemptOutcome::NotRun(cause),
+        Err(exchange::AttemptError::LinkSlow(cause)) => return AttemptOutcome::LinkSlow(cause),
         Err(exchange::AttemptError::MayHaveRun(cause)) => return AttemptOutcome::Failed(cause),
         Err(exchange::AttemptError::Disconnected(cause)) => {
             return AttemptOutcome::Disconnected(cause);
