--- a/src/platform.rs
+++ b/src/platform.rs
@@ -12,4 +12,5 @@
 pub mod servers;
 pub mod settings;
 pub mod store;
+mod store_call;
 mod store_wire;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     coordination::{configuration::arrival, era, overload::late_timeouts},
-    platform::headers,
+    platform::store_call,
     platform::store_wire::{
         WireApplied, WireCondition, WireConflict, WireEvents, WireItem, WireLease, WirePage,
         WirePut, WireWrite, decode_change, decode_item, percent_encode,
@@ -27,10 +27,6 @@
     },
 };
 
-/// Time within which the response to a call must begin; that of a watch is longer by the wait that it asks for. A
-/// slow store takes a quarter of a second. How long the rest may take is decided in [`arrival`].
-const CALL_TIMEOUT: Duration = Duration::from_millis(800);
-
 /// Time limit for connecting. A round trip takes a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -41,9 +37,6 @@
 /// five seconds when nothing changes, so a slow one is forgotten after about twenty seconds.
 const RESPONSE_TIME_DECAY: f64 = 0.75;
 
-/// Time from which on the arrival of a response is logged. A usual one comes in one piece.
-const LONG_ARRIVAL: Duration = Duration::from_millis(250);
-
 /// Name of the watch call in metrics, logs and errors.
 const WATCH: &str = "watch";
 
@@ -184,148 +177,9 @@
     era_began: event_listener::Event,
 }
 
-/// Why an attempt at a call got no response.
-enum AttemptError {
-    /// No connection could be opened, so the store did nothing.
-    NotSent(String),
-    /// The request may have been sent, and the store may have processed it.
-    NoResponse(String),
-    /// As [`Self::NoResponse`], because a time limit passed.
-    TimedOut,
-}
-
-impl AttemptError {
-    fn cause(self) -> String {
-        match self {
-            Self::NotSent(cause) | Self::NoResponse(cause) => cause,
-            Self::TimedOut => "it did not arrive in time".to_owned(),
-        }
-    }
-}
-
-impl From<fault::Fault> for AttemptError {
-    fn from(err: fault::Fault) -> Self {
-        match err {
-            fault::Fault::TooSlow(_) => Self::TimedOut,
-            err => Self::NoResponse(err.to_string()),
-        }
-    }
-}
-
-/// A call to be made.
-#[derive(Clone, Copy)]
-struct Call<'a> {
-    /// Name in metrics, logs and errors.
-    name: &'static str,
-    method: &'a str,
-    path: &'a str,
-    body: Option<&'a [u8]>,
-    /// Time within which the response must begin on a link without delay.
-    timeout: Duration,
-    /// Called with the announced length when the head of a response has arrived; returns whether the rest is read.
-    began: &'a dyn Fn(Option<u64>) -> bool,
-}
-
-impl<'a> Call<'a> {
-    fn get(name: &'static str, path: &'a str) -> Self {
-        Self {
-            name,
-            method: "GET",
-            path,
-            body: None,
-            timeout: CALL_TIMEOUT,
-            began: &|_| true,
-        }
-    }
-
-    fn post(name: &'static str, path: &'a str, body: &'a [u8]) -> Self {
-        Self {
-            method: "POST",
-            body: Some(body),
-            ..Self::get(name, path)
-        }
-    }
-}
-
-/// A response on its way. One that is dropped before its end is counted and logged.
-struct Arriving<'a> {
-    call: &'static str,
-    timers: &'a timers::Timers,
-    arrival: Cell<arrival::Arrival>,
-    is_whole: Cell<bool>,
-}
-
-impl<'a> Arriving<'a> {
-    fn new(call: &'static str, timers: &'a timers::Timers, due: Duration) -> Self {
-        Self {
-            call,
-            timers,
-            arrival: Cell::new(arrival::Arrival::new(due)),
-            is_whole: Cell::new(false),
-        }
-    }
-
-    /// Runs a step of the exchange; `None` when the response is given up first.
-    async fn within<T>(&self, step: impl Future<Output = T>) -> Option<T> {
-        let left = self.arrival.get().due().saturating_sub(self.timers.now());
-        self.timers.within(left, step).await
-    }
-
-    fn update(&self, change: impl FnOnce(&mut arrival::Arrival)) {
-        let mut arrival = self.arrival.get();
-        change(&mut arrival);
-        self.arrival.set(arrival);
-    }
-}
-
-impl Drop for Arriving<'_> {
-    fn drop(&mut self) {
-        let arrival = self.arrival.get();
-        let Some(began_at) = arrival.began_at else {
-            return;
-        };
-        let took = self.timers.now().saturating_sub(began_at);
-        let (call, received, announced) = (self.call, arrival.received, arrival.announced);
-        let arrival_ms = took.as_millis() as u64;
-        if !self.is_whole.get() {
-            metrics::counter!("fulmar_gateway_store_incomplete_responses_total", "call" => call)
-                .increment(1);
-            tracing::info!(
-                call,
-                received,
-                announced,
-                arrival_ms,
-                "store: a response was cut off"
-            );
-        } else if took >= LONG_ARRIVAL {
-            tracing::info!(call, received, arrival_ms, "store: a long response arrived");
-        }
-    }
-}
-
-struct Response {
-    status: u16,
-    /// Body; `None` if it was not read.
-    body: Option<Vec<u8>>,
-    named_era: era::Named,
-    /// Whether the response belongs to the newest era known.
-    verdict: era::Verdict,
-}
-
-impl Response {
-    fn without_body(head: &head::ResponseHead) -> Self {
-        Self {
-            status: head.status,
-            body: None,
-            named_era: headers::store_era(head),
-            verdict: era::Verdict::Current,
-        }
-    }
-}
-
 fn parse<'a, T: Deserialize<'a>>(
     call: &'static str,
-    response: &'a Response,
+    response: &'a store_call::Response,
 ) -> Result<T, StoreError> {
     let body = response.body.as_deref().unwrap_or_default();
     let parsed = serde_json::from_slice(body);
@@ -337,7 +191,7 @@
 }
 
 /// Error when a response on which tokens may be granted names no era although the store has eras.
-fn require_era(call: &'static str, response: &Response) -> Result<(), StoreError> {
+fn require_era(call: &'static str, response: &store_call::Response) -> Result<(), StoreError> {
     match response.verdict {
         era::Verdict::Unnamed => Err(no_response(call, "the response names no era".to_owned())),
         _ => Ok(()),
@@ -413,7 +267,7 @@
     pub async fn get(&self, key: &str) -> Result<Item, StoreError> {
         const CALL: &str = "get";
         let path = format!("/kv-key?key={}", percent_encode(key));
-        let response = self.call(Call::get(CALL, &path)).await?;
+        let response = self.call(store_call::Call::get(CALL, &path)).await?;
         require_era(CALL, &response)?;
         let era = self.era();
         match response.status {
@@ -447,7 +301,7 @@
             if stale {
                 path.push_str("&stale_ok=1");
             }
-            let response = self.call(Call::get(CALL, &path)).await?;
+            let response = self.call(store_call::Call::get(CALL, &path)).await?;
             if response.status != 200 {
                 return Err(status_error(CALL, response.status));
             }
@@ -487,10 +341,10 @@
             wait.as_millis()
         );
         let era = self.era();
-        let call = Call {
-            timeout: wait + CALL_TIMEOUT,
+        let call = store_call::Call {
+            timeout: wait + store_call::CALL_TIMEOUT,
             began,
-            ..Call::get(CALL, &path)
+            ..store_call::Call::get(CALL, &path)
         };
         let watching = async { Some(self.call(call).await) };
         let era_ended = async {
@@ -563,7 +417,9 @@
         };
         let body = serde_json::to_vec(&wire).map_err(|err| no_response(CALL, err.to_string()))?;
         let era = self.era();
-        let response = self.call(Call::post(CALL, "/kv-txn", &body)).await?;
+        let response = self
+            .call(store_call::Call::post(CALL, "/kv-txn", &body))
+            .await?;
         require_era(CALL, &response)?;
         if self.era() != era {
             // The write was planned on what the store may have forgotten.
@@ -593,7 +449,7 @@
     pub async fn grant_lease(&self, ttl: Duration) -> Result<Lease, StoreError> {
         const CALL: &str = "lease";
         let body = format!("{{\"ttl_ms\":{}}}", ttl.as_millis());
-        let call = Call::post(CALL, "/kv-lease", body.as_bytes());
+        let call = store_call::Call::post(CALL, "/kv-lease", body.as_bytes());
         let response = self.call(call).await?;
         if response.status != 200 {
             return Err(status_error(CALL, response.status));
@@ -613,7 +469,7 @@
     pub async fn renew_lease(&self, lease: u64) -> Result<bool, StoreError> {
         const CALL: &str = "keep";
         let path = format!("/kv-keep/{lease}");
-        let response = self.call(Call::post(CALL, &path, b"")).await?;
+        let response = self.call(store_call::Call::post(CALL, &path, b"")).await?;
         match response.status {
             200 => Ok(true),
             404 => Ok(false),
@@ -629,9 +485,9 @@
     pub async fn revoke_lease(&self, lease: u64) -> Result<(), StoreError> {
         const CALL: &str = "end";
         let path = format!("/kv-lease-end/{lease}");
-        let call = Call {
+        let call = store_call::Call {
             method: "DELETE",
-            ..Call::get(CALL, &path)
+            ..store_call::Call::get(CALL, &path)
         };
         let response = self.call(call).await?;
         match response.status {
@@ -646,7 +502,7 @@
     /// Another attempt follows only when the previous one certainly did nothing or was a read. An
     /// interrupted watch is not retried but ends with an error: the store may have dropped the
     /// history since, so the items must be read again.
-    async fn call(&self, req: Call<'_>) -> Result<Response, StoreError> {
+    async fn call(&self, req: store_call::Call<'_>) -> Result<store_call::Response, StoreError> {
         let call = req.name;
         let mut attempts = 0;
         loop {
@@ -654,12 +510,14 @@
             let timeout = req.timeout + self.round_trips.patience();
             let address = (self.route.next_address)();
             let started = self.timers.now();
-            let arriving = Arriving::new(call, &self.timers, started + timeout);
+            let arriving = store_call::Arriving::new(call, &self.timers, started + timeout);
             let outcome = self.exchange(address, req, &arriving).await;
             let arrival = arriving.arrival.get();
             drop(arriving);
             let counts = match &outcome {
-                Err(AttemptError::TimedOut) => self.handle_timeout(call, address, arrival),
+                Err(store_call::AttemptError::TimedOut) => {
+                    self.handle_timeout(call, address, arrival)
+                }
                 _ => true,
             };
             let outcome = outcome.and_then(|response| self.judge_era(call, address, response));
@@ -685,10 +543,10 @@
             }
             let can_retry = match &outcome {
                 Ok(_) => refused,
-                Err(AttemptError::NotSent(_)) => true,
-                Err(AttemptError::NoResponse(_) | AttemptError::TimedOut) => {
-                    req.method == "GET" && call != WATCH
-                }
+                Err(store_call::AttemptError::NotSent(_)) => true,
+                Err(
+                    store_call::AttemptError::NoResponse(_) | store_call::AttemptError::TimedOut,
+                ) => req.method == "GET" && call != WATCH,
             };
             if !can_retry || attempts == MAX_ATTEMPTS {
                 return outcome.map_err(|err| no_response(call, err.cause()));
@@ -720,7 +578,7 @@
     fn counts_timeout(&self, address: SocketAddr, late: Duration) -> bool {
         let is_slow = self.round_trips.is_slow();
         let mut timeouts = self.late_timeouts.borrow_mut();
-        let counts = !is_slow && timeouts.record(address, CALL_TIMEOUT, late);
+        let counts = !is_slow && timeouts.record(address, store_call::CALL_TIMEOUT, late);
         if !counts {
             metrics::counter!("fulmar_gateway_late_timeouts_total", "call" => "store").increment(1);
             tracing::info!(%address, ?late, is_slow, "store: no response while the own loop or link was late");
@@ -733,8 +591,8 @@
         &self,
         call: &'static str,
         address: SocketAddr,
-        mut response: Response,
-    ) -> Result<Response, AttemptError> {
+        mut response: store_call::Response,
+    ) -> Result<store_call::Response, store_call::AttemptError> {
         let known = self.era();
         response.verdict = self.eras.borrow_mut().observe(response.named_era);
         let named = response.named_era;
@@ -751,7 +609,7 @@
                     .increment(1);
                 tracing::warn!(call, ?named, known, %address, "store: response of an earlier era");
                 let cause = format!("a response of an earlier era than {known}");
-                return Err(AttemptError::NoResponse(cause));
+                return Err(store_call::AttemptError::NoResponse(cause));
             }
             era::Verdict::Unnamed => {
                 metrics::counter!("fulmar_gateway_store_era_faults_total", "kind" => "unnamed")
@@ -766,11 +624,11 @@
     async fn exchange(
         &self,
         address: SocketAddr,
-        req: Call<'_>,
-        arriving: &Arriving<'_>,
-    ) -> Result<Response, AttemptError> {
+        req: store_call::Call<'_>,
+        arriving: &store_call::Arriving<'_>,
+    ) -> Result<store_call::Response, store_call::AttemptError> {
         let sent = arriving.within(self.send(address, req)).await;
-        let (mut conn, response) = sent.unwrap_or(Err(AttemptError::TimedOut))?;
+        let (mut conn, response) = sent.unwrap_or(Err(store_call::AttemptError::TimedOut))?;
         let framing = body::response_framing(&response, req.method)?;
         let mut reader = body::Body::new(framing);
         let limit = || arrival::STALL_TIMEOUT + self.round_trips.patience();
@@ -781,7 +639,7 @@
             arrival.record(conn.unread().len() as u64, now, limit());
         });
         if !(req.began)(reader.missing()) {
-            return Ok(Response::without_body(&response));
+            return Ok(store_call::Response::without_body(&response));
         }
         let fill = async |body: &mut body::Body, conn: &mut conn::Conn| {
             let before = conn.unread().len();
@@ -800,9 +658,9 @@
             let until = self.timers.now() + IDLE_TIMEOUT;
             self.pool.borrow_mut().put(address, conn, until);
         }
-        Ok(Response {
+        Ok(store_call::Response {
             body: Some(response_body),
-            ..Response::without_body(&response)
+            ..store_call::Response::without_body(&response)
         })
     }
 
@@ -810,9 +668,9 @@
     async fn send(
         &self,
         address: SocketAddr,
-        req: Call<'_>,
-    ) -> Result<(conn::Conn, head::ResponseHead), AttemptError> {
-        let Call {
+        req: store_call::Call<'_>,
+    ) -> Result<(conn::Conn, head::ResponseHead), store_call::AttemptError> {
+        let store_call::Call {
             method, path, body, ..
         } = req;
         let mut conn = self.connection(address).await?;
@@ -830,13 +688,16 @@
     }
 
     /// Returns an idle connection to an address, or opens one.
-    async fn connection(&self, address: SocketAddr) -> Result<conn::Conn, AttemptError> {
+    async fn connection(
+        &self,
+        address: SocketAddr,
+    ) -> Result<conn::Conn, store_call::AttemptError> {
         let now = self.timers.now();
         if let Some(conn) = self.pool.borrow_mut().take(address, now, |_| true) {
             return Ok(conn);
         }
         let limit = CONNECT_TIMEOUT + self.round_trips.patience();
         let connected = dial::connect(address, limit, &self.timers).await;
-        connected.map_err(|err| AttemptError::NotSent(format!("cannot connect: {err}")))
+        connected.map_err(|err| store_call::AttemptError::NotSent(format!("cannot connect: {err}")))
     }
 }
