--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -511,7 +511,8 @@
             let address = (self.route.next_address)();
             let started = self.timers.now();
             let arriving = store_call::Arriving::new(call, &self.timers, started + timeout);
-            let outcome = self.exchange(address, req, &arriving).await;
+            // Boxed, as the futures of all callers would grow by it.
+            let outcome = Box::pin(self.exchange(address, req, &arriving)).await;
             let arrival = arriving.arrival.get();
             drop(arriving);
             let counts = match &outcome {
