--- a/src/coordination/configuration/arrival.rs
+++ b/src/coordination/configuration/arrival.rs
@@ -1,4 +1,4 @@
-//! When a response of the store is given up.
+//! When a response of the store times out.
 //!
 //! It must begin within the time limit of its call, and once it has begun, it must make progress. It may take as long as
 //! its size and the link need. The decision is based on the time of the call and the bytes that have arrived so far.
@@ -53,7 +53,7 @@
         }
     }
 
-    /// Time at which the response is given up.
+    /// Time at which the response times out.
     ///
     /// ```
     /// use std::time::Duration;
--- a/src/coordination/configuration/staleness.rs
+++ b/src/coordination/configuration/staleness.rs
@@ -1,4 +1,4 @@
-//! Whether a gateway may still act on what it knows of the store.
+//! Whether the state of the store that a gateway holds is too old to act on.
 //!
 //! Handles links that callers fill and processes that are short of processor time: what the store or a leader
 //! sends then waits behind everything else, and the gateway cannot distinguish "no change" from a change on its way.
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -199,7 +199,7 @@
 }
 
 /// Refusal of a request for what the configuration in force does not have. A newer one that is known may have it, so
-/// the caller is to come back then.
+/// the caller may retry.
 fn unknown_refusal(gw: &core::Gateway, code: Code, message: String) -> Refusal {
     match gw.watch_notes.config.borrow().behind_since() {
         None => Refusal::new(code, message),
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -118,7 +118,7 @@
     /// The store no longer has the history from the requested revision on; the items must be read
     /// again.
     HistoryLost,
-    /// The response was not read, as [`Store::watch`] was told.
+    /// The response was not read, because the caller of [`Store::watch`] declined it.
     NotRead,
 }
 
--- a/src/platform/store_call.rs
+++ b/src/platform/store_call.rs
@@ -103,7 +103,7 @@
         }
     }
 
-    /// Runs a step of the exchange; `None` when the response is given up first.
+    /// Runs a step of the exchange; `None` when the response times out first.
     pub async fn within<T>(&self, step: impl Future<Output = T>) -> Option<T> {
         let left = self.arrival.get().due().saturating_sub(self.timers.now());
         self.timers.within(left, step).await
--- a/tests/agent_answers.rs
+++ b/tests/agent_answers.rs
@@ -1,12 +1,10 @@
 //! Responses of a backend server to its agent that break off or have a status that is none.
 
-use std::{
-    io::{Read, Write},
-    net::TcpListener,
-    thread,
-    time::Duration,
-};
+mod common;
 
+use std::time::Duration;
+
+use common::early_server::{self, End};
 use fulmarproxy::transport::backend::{Backend, Call};
 use futures::StreamExt;
 
@@ -15,35 +13,11 @@
 
 const PLAYS: usize = 12;
 
-/// Starts a server that answers each request as soon as its head has arrived; returns its URL. It resets the
-/// connection after a delay, or closes it properly a moment later.
-fn start_server(answer: &str, resets_after: Option<Duration>) -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let url = format!("http://{}", listener.local_addr().unwrap());
-    let answer = answer.to_owned();
-    thread::spawn(move || {
-        for mut conn in listener.incoming().flatten() {
-            let mut received = Vec::new();
-            while !received.windows(4).any(|found| found == b"\r\n\r\n") {
-                let mut bytes = [0; 512];
-                let len = conn.read(&mut bytes).unwrap_or(0);
-                if len == 0 {
-                    break;
-                }
-                received.extend_from_slice(&bytes[..len]);
-            }
-            let _ = conn.write_all(answer.as_bytes());
-            match resets_after {
-                Some(delay) => {
-                    thread::sleep(delay);
-                    let socket = socket2::Socket::from(conn);
-                    socket.set_linger(Some(Duration::ZERO)).unwrap();
-                }
-                None => thread::sleep(Duration::from_millis(20)),
-            }
-        }
-    });
-    url
+const CLOSE: End = End::Close(Duration::from_millis(20));
+
+/// URL of a server that answers each request as soon as its head has arrived.
+fn start_server(answer: &str, end: End) -> String {
+    format!("http://{}", early_server::start(answer.to_owned(), end))
 }
 
 /// Calls the server; returns the status and body of a complete answer.
@@ -71,7 +45,10 @@
 fn an_answer_that_is_reset_during_an_upload_is_not_complete() {
     for delay in [0, 1, 5].map(Duration::from_millis) {
         for head in ["", "Connection: close\r\n"] {
-            let url = start_server(&format!("HTTP/1.1 200 OK\r\n{head}\r\npart"), Some(delay));
+            let url = start_server(
+                &format!("HTTP/1.1 200 OK\r\n{head}\r\npart"),
+                End::Reset(delay),
+            );
             let found = (0..PLAYS).filter_map(|_| call(&url, LONG_UPLOAD));
             assert_eq!(found.count(), 0, "{head:?}, reset after {delay:?}");
         }
@@ -89,9 +66,9 @@
         "999 X",
     ] {
         let answer = format!("HTTP/1.1 {status}\r\nContent-Length: 4\r\n\r\nboom");
-        let url = start_server(&answer, None);
+        let url = start_server(&answer, CLOSE);
         assert_eq!(call(&url, 1), None, "{status}");
     }
-    let url = start_server("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", None);
+    let url = start_server("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", CLOSE);
     assert_eq!(call(&url, 1), Some((200, b"ok".to_vec())));
 }
--- a/tests/broken_answers.rs
+++ b/tests/broken_answers.rs
@@ -1,14 +1,11 @@
 //! Responses of backend servers that break off during an upload, and responses with a status that is none.
 
+mod common;
 mod gateway_world;
 
-use std::{
-    io::{Read, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
-    thread,
-    time::Duration,
-};
+use std::time::Duration;
 
+use common::early_server::{self, End};
 use fulmarproxy::standin::scripted_server::{ReceivedRequest, Step};
 use gateway_world::{TestEnv, configuration, run_test};
 use serde_json::{Value, json};
@@ -30,32 +27,6 @@
     whole
 }
 
-/// Answers each request at once with a part of a body that has no length, and resets the connection after a delay.
-fn start_resetting_server(head: &'static str, part: &'static str, delay: Duration) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    let answer = move |mut conn: TcpStream| {
-        let mut received = Vec::new();
-        while !received.windows(4).any(|found| found == b"\r\n\r\n") {
-            let mut bytes = [0; 512];
-            match conn.read(&mut bytes) {
-                Ok(len) if len > 0 => received.extend_from_slice(&bytes[..len]),
-                _ => return,
-            }
-        }
-        let _ = conn.write_all(format!("HTTP/1.1 200 OK\r\n{head}\r\n{part}").as_bytes());
-        thread::sleep(delay);
-        let socket = socket2::Socket::from(conn);
-        socket.set_linger(Some(Duration::ZERO)).unwrap();
-    };
-    thread::spawn(move || {
-        for conn in listener.incoming().flatten() {
-            thread::spawn(move || answer(conn));
-        }
-    });
-    address
-}
-
 /// Number of complete successes that callers get of a server that resets uploads.
 async fn complete_successes(env: &TestEnv, path: &str, upload: usize) -> usize {
     let body = "x".repeat(upload);
@@ -63,7 +34,7 @@
     for _ in 0..PLAYS {
         let response = env.send("POST", path, "", &body).await;
         found += usize::from(response.whole && response.status < 300);
-        // A server that failed is left out for a while, and a test is not to wait for it.
+        // A server that failed is ejected for a while.
         *env.gw.ejection.borrow_mut() = Default::default();
     }
     found
@@ -73,7 +44,8 @@
     for upload in [LONG_UPLOAD, SHORT_UPLOAD] {
         for delay in [0, 1, 5].map(Duration::from_millis) {
             run_test(&uploads_allowed(), async |env| {
-                let server = start_resetting_server(head, part, delay);
+                let answer = format!("HTTP/1.1 200 OK\r\n{head}\r\n{part}");
+                let server = early_server::start(answer, End::Reset(delay));
                 env.list_server(service, server).await;
                 let found = complete_successes(&env, path, upload).await;
                 assert_eq!(found, 0, "{upload} bytes, reset after {delay:?}");
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod disturbed_fleet;
+pub mod early_server;
 pub mod former_placing;
 pub mod mixed_load;
 pub mod mixed_requests;
--- a/tests/connects_over_a_slow_link.rs
+++ b/tests/connects_over_a_slow_link.rs
@@ -9,7 +9,7 @@
 
 const AMPLE_BUDGET: u64 = 100_000_000;
 
-/// Attempts that fail before a server is left out.
+/// Attempts that fail before a server is ejected.
 const ATTEMPTS: usize = 3;
 
 /// An address whose kernel drops connection attempts, and what keeps it so.
