--- a/src/coordination/configuration/staleness.rs
+++ b/src/coordination/configuration/staleness.rs
@@ -7,8 +7,21 @@
 
 use std::time::Duration;
 
+use derive_more::Display;
+
 use crate::coordination::overload::own_delay;
 
+/// Why a gateway must not act on the state that it holds.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Outdated {
+    /// The own VM is slow, and the state was not confirmed for too long.
+    #[display("stale")]
+    Stale,
+    /// A change is known for too long that has not arrived.
+    #[display("behind")]
+    Behind,
+}
+
 /// Part of the time within which a change must be in force that may pass without a confirmation. The rest is
 /// for requests on their way to a backend server over the same link.
 const MAX_AGE_PART: f64 = 0.5;
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -330,6 +330,14 @@
             || is_behind(servers.behind_since(), pause, settings.drain)
     }
 
+    /// Why what is known of the store is too old to act on; `None` when it is not.
+    pub fn outdated(&self) -> Option<staleness::Outdated> {
+        match self.is_stale() {
+            true => Some(staleness::Outdated::Stale),
+            false => self.is_behind().then_some(staleness::Outdated::Behind),
+        }
+    }
+
     /// Bandwidth of the VM's link in bytes per second.
     pub fn link(&self) -> u64 {
         self.settings.borrow().limits.link
@@ -438,7 +446,7 @@
         if !self.directory.borrow().is_loaded {
             return Some("no list of backend servers");
         }
-        if self.is_stale() || self.is_behind() {
+        if self.outdated().is_some() {
             return Some("outdated configuration");
         }
         if self.overload.is_out() {
--- a/src/gateway/overload.rs
+++ b/src/gateway/overload.rs
@@ -15,8 +15,11 @@
 
 use crate::{
     code::Code,
-    coordination::overload::{
-        batching, lag, late_timeouts, link_use, own_delay, peer_load, refusing, rotation,
+    coordination::{
+        configuration::staleness::Outdated,
+        overload::{
+            batching, lag, late_timeouts, link_use, own_delay, peer_load, refusing, rotation,
+        },
     },
     gateway::{admission::Admitted, core, refusal::Refusal, request_error},
     transport::traffic,
@@ -384,12 +387,12 @@
 
 /// Returns a refusal if what this gateway knows of the store is too old to act on.
 pub fn stale_refusal(gw: &core::Gateway) -> Option<Refusal> {
-    let (reason, message) = match (gw.is_stale(), gw.is_behind()) {
-        (true, _) => ("stale", request_error::STALE_MESSAGE),
-        (false, true) => ("behind", request_error::BEHIND_MESSAGE),
-        (false, false) => return None,
+    let outdated = gw.outdated()?;
+    let message = match outdated {
+        Outdated::Stale => request_error::STALE_MESSAGE,
+        Outdated::Behind => request_error::BEHIND_MESSAGE,
     };
-    counter!("fulmar_gateway_busy_refusals_total", "reason" => reason).increment(1);
+    counter!("fulmar_gateway_busy_refusals_total", "reason" => outdated.to_string()).increment(1);
     let refusal = Refusal::new(Code::StaleConfig, message);
     Some(refusal.retry_after(refusing::retry_after(Duration::MAX, fastrand::f64())))
 }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -119,8 +119,7 @@
 /// Whether the connection is closed after the response.
 pub fn closes_connection(gw: &core::Gateway, head: &head::RequestHead) -> bool {
     gw.is_draining()
-        || gw.is_stale()
-        || gw.is_behind()
+        || gw.outdated().is_some()
         || !head.is_1_1
         || head.headers.has_token("Connection", "close")
         || overload::closes_connection(gw, gw.now())
