store: a refused watch is no sign of a change

Only a successful response counts as the beginning of a change now. a_refused_watch_brings_no_change failed before (behind since the refusal).

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -322,7 +322,8 @@
     }
 
     /// Waits at most `wait` for changes of keys that start with a prefix, after revision `after`. `began` is
-    /// called with the announced length when the head of the response has arrived, and returns whether to read it.
+    /// called with the announced length when the head of a successful response has arrived, and returns whether to read
+    /// it.
     ///
     /// # Errors
     ///
@@ -639,7 +640,7 @@
             arrival.begin(reader.missing(), now, limit());
             arrival.record(conn.unread().len() as u64, now, limit());
         });
-        if !(req.began)(reader.missing()) {
+        if response.status == 200 && !(req.began)(reader.missing()) {
             return Ok(store_call::Response::without_body(&response));
         }
         let fill = async |body: &mut body::Body, conn: &mut conn::Conn| {
--- a/src/platform/store_call.rs
+++ b/src/platform/store_call.rs
@@ -57,7 +57,8 @@
     pub body: Option<&'a [u8]>,
     /// Time within which the response must begin on a link without delay.
     pub timeout: Duration,
-    /// Called with the announced length when the head of a response has arrived; returns whether the rest is read.
+    /// Called with the announced length when the head of a successful response has arrived; returns whether the rest is
+    /// read.
     pub began: &'a dyn Fn(Option<u64>) -> bool,
 }
 
--- a/src/standin/platform_store.rs
+++ b/src/standin/platform_store.rs
@@ -62,6 +62,8 @@
     /// Number of further watches whose responses are lost. Their connections stay open and return
     /// nothing further.
     pub lost_watches: Cell<u32>,
+    /// Number of further watches that are refused with status 503.
+    pub refused_watches: Cell<u32>,
     /// Number of further responses of 100 kB or more that stop in their middle, while the connection stays open.
     pub stalled_responses: Cell<u32>,
     /// Number of connections, in the order in which they were accepted, that return nothing further.
@@ -328,6 +330,11 @@
         if self.faults.unavailable.get() {
             return self.respond(conn, 503, &Value::Null).await;
         }
+        let refused = self.faults.refused_watches.get();
+        if path == "/kv-watch" && refused > 0 {
+            self.faults.refused_watches.set(refused - 1);
+            return self.respond(conn, 503, &Value::Null).await;
+        }
         let (status, value) = match path.as_str() {
             "/kv-key" => self.get(&head.target),
             "/kv-range" => self.range(&head.target),
--- a/tests/lost_store_responses.rs
+++ b/tests/lost_store_responses.rs
@@ -82,6 +82,21 @@
     }
 }
 
+/// Guards against taking a refusal of a watch for the change that it waits for.
+#[test]
+fn a_refused_watch_brings_no_change() {
+    run_test(&configuration(1, AMPLE_BUDGET, TIMEOUT_MS), async |env| {
+        env.store.faults.refused_watches.set(2);
+        env.until(|env| env.store.faults.refused_watches.get() == 0)
+            .await;
+        env.sleep(100).await;
+        for prefix in [&env.gw.watch_notes.config, &env.gw.watch_notes.servers] {
+            assert_eq!(prefix.borrow().behind_since(), None);
+            assert!(!prefix.borrow().is_response_arriving());
+        }
+    });
+}
+
 /// A client of the store at an address.
 fn client(address: SocketAddr) -> Store {
     let route = RouteCallbacks {
